Add the design page, the build, the micro-kernel and utilities

Cause: the project starts from nothing; all later parts need one build, one way to declare libraries and tests, and a page that fixes modules, state and messages. Ruled out: precompiled headers, because they defeat the shared compiler cache; one ctest entry per program, because KNOWN-RED.txt must be able to name single test cases. Nothing before to compare with. Conclusion: the interfaces can now be filled in side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# The commands of the project; see README.md.
+
+SANITIZE ?=
+EXAMPLE ?= inspector
+SECONDS ?= 30
+SEED ?= 0
+JOBS ?= $(shell nproc)
+
+comma := ,
+BUILD := build$(if $(SANITIZE),-$(subst $(comma),-,$(SANITIZE)))
+
+.PHONY: all packages configure build test run bench faults format lint check
+
+all: build
+
+packages:
+	@src/build-scripts/install_packages.sh
+
+configure: packages
+	@cmake -S . -B $(BUILD) -G Ninja -DSANITIZE=$(SANITIZE) > $(BUILD).configure.log 2>&1 \
+	    || { cat $(BUILD).configure.log; rm -f $(BUILD).configure.log; exit 1; }
+	@rm -f $(BUILD).configure.log
+
+build: configure
+	@cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	@src/build-scripts/run_tests.sh $(BUILD)
+
+run: build
+	@examples/run.sh $(BUILD)/bin $(EXAMPLE)
+
+format:
+	@find src -name '*.h' -o -name '*.cpp' | xargs clang-format -i
+
+check: configure
+	@src/build-scripts/check_format.sh
+	@src/build-scripts/check_lint.sh $(BUILD)
--- /dev/null
+++ b/src/cmake/dependencies.cmake
@@ -0,0 +1,21 @@
+# Libraries from the distribution's packages.
+
+set(THREADS_PREFER_PTHREAD_FLAG ON)
+find_package(Threads REQUIRED)
+find_package(Boost 1.74 REQUIRED)
+find_package(absl REQUIRED)
+find_package(fmt REQUIRED)
+find_package(spdlog REQUIRED)
+find_package(yaml-cpp REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(CURL REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(PkgConfig REQUIRED)
+find_package(Catch2 2 REQUIRED)
+list(APPEND CMAKE_MODULE_PATH ${Catch2_DIR})
+find_package(msgpackc-cxx REQUIRED CONFIG CONFIGS msgpack-config.cmake)
+pkg_check_modules(PISTACHE REQUIRED IMPORTED_TARGET libpistache)
+pkg_check_modules(POPT REQUIRED IMPORTED_TARGET popt)
+find_library(XXHASH_LIBRARY xxhash REQUIRED)
+# Asio without Boost.System's compiled part, msgpack without its Boost helpers.
+add_compile_definitions(BOOST_ERROR_CODE_HEADER_ONLY MSGPACK_NO_BOOST)
--- /dev/null
+++ b/src/include/redwingwheel/digest.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+/// Digests: fast ones that detect damage, keyed ones that authenticate.
+namespace redwingwheel::digest {
+
+/// xxHash (XXH3, 64 bits) of `bytes`. Not for authentication.
+[[nodiscard]] std::uint64_t content_hash(std::string_view bytes);
+
+/// CRC-32C (Castagnoli) of `bytes`, for records on disk.
+[[nodiscard]] std::uint32_t crc32c(std::string_view bytes);
+
+/// HMAC-SHA-256 of `bytes` under `key`, as 64 hexadecimal digits.
+[[nodiscard]] std::string keyed_digest(std::string_view key, std::string_view bytes);
+
+/// SHA-256 of `bytes` as 64 hexadecimal digits. Access tokens are stored in this form.
+[[nodiscard]] std::string token_digest(std::string_view token);
+
+/// Compares in a time that does not depend on where the texts differ.
+[[nodiscard]] bool equal_in_constant_time(std::string_view left, std::string_view right);
+
+} // namespace redwingwheel::digest
--- /dev/null
+++ b/src/libkernel/kernel_test.cpp
@@ -0,0 +1,90 @@
+#include "redwingwheel/kernel.h"
+
+#include <catch2/catch.hpp>
+
+#include "redwingwheel/control_loop.h"
+
+namespace kernel = redwingwheel::kernel;
+
+namespace {
+
+class recording_service : public kernel::service {
+public:
+    recording_service(std::string called, std::vector<std::string>& log, bool refuses = false)
+        : service_name(std::move(called)), events(log), fails(refuses)
+    {
+    }
+    [[nodiscard]] std::string_view name() const override { return this->service_name; }
+    [[nodiscard]] absl::Status start() override
+    {
+        this->events.push_back("start " + this->service_name);
+        return this->fails ? absl::InternalError("refuses") : absl::OkStatus();
+    }
+    void drain(redwingwheel::steady_time) override
+    {
+        this->events.push_back("drain " + this->service_name);
+    }
+    void stop() override { this->events.push_back("stop " + this->service_name); }
+
+private:
+    std::string service_name;
+    std::vector<std::string>& events;
+    bool fails;
+};
+
+} // namespace
+
+// Guards against a service that stops while a later one still uses it.
+TEST_CASE("services drain and stop in reverse order", "[kernel]")
+{
+    std::vector<std::string> events;
+    kernel::kernel services;
+    services.add(std::make_unique<recording_service>("a", events));
+    services.add(std::make_unique<recording_service>("b", events));
+    REQUIRE(services.start().ok());
+    services.drain_and_stop(std::chrono::steady_clock::now());
+    REQUIRE(events == std::vector<std::string>{"start a", "start b", "drain b", "drain a", "stop b",
+                                               "stop a"});
+}
+
+// Guards against services left running behind a daemon that failed to start.
+TEST_CASE("a failed start stops what was started", "[kernel]")
+{
+    std::vector<std::string> events;
+    kernel::kernel services;
+    services.add(std::make_unique<recording_service>("a", events));
+    services.add(std::make_unique<recording_service>("b", events, true));
+    REQUIRE_FALSE(services.start().ok());
+    REQUIRE(events == std::vector<std::string>{"start a", "start b", "drain a", "stop a"});
+}
+
+// Guards against two services that shadow each other under one name.
+TEST_CASE("names are unique and looked up with their type", "[kernel]")
+{
+    std::vector<std::string> events;
+    kernel::kernel services;
+    services.add(std::make_unique<recording_service>("a", events));
+    REQUIRE_THROWS_AS(services.add(std::make_unique<recording_service>("a", events)),
+                      std::logic_error);
+    REQUIRE(services.find<recording_service>("a").name() == "a");
+    REQUIRE_THROWS_AS(services.find<recording_service>("b"), std::logic_error);
+}
+
+// Guards against control work that runs out of order or on another thread.
+TEST_CASE("the control loop runs posted work in order on its thread", "[control_loop]")
+{
+    kernel::control_loop loop;
+    std::vector<int> order;
+    bool on_thread = false;
+    loop.start();
+    loop.post([&order] { order.push_back(1); });
+    loop.post([&order] { order.push_back(2); });
+    loop.run_and_wait([&] {
+        order.push_back(3);
+        on_thread = loop.on_control_thread();
+    });
+    loop.stop();
+    REQUIRE(order == std::vector<int>{1, 2, 3});
+    REQUIRE(on_thread);
+    REQUIRE_FALSE(loop.on_control_thread());
+}
