Add the HTTP layer over Pistache and libcurl

Cause: the behaviour of the HTTP libraries under faults has to be known before services rest on it. Found: Pistache addresses a queued answer by file descriptor, so an answer that is queued around a disconnection could reach the next connection with the same descriptor; libcurl sends a request again when a pooled connection turns out to be dead. Ruled out: blocking a server thread per request until the answer is there, because a few slow requests would then stop an entry; a pooled connection for work that must run at most once.

--- /dev/null
+++ b/src/libhttp/http_client.cpp
@@ -0,0 +1,258 @@
+#include "redwingwheel/http_client.h"
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include <curl/curl.h>
+
+namespace redwingwheel::http {
+
+namespace {
+
+constexpr int poll_timeout_ms = 1000;
+
+struct transfer {
+    std::uint64_t number = 0;
+    client_request request;
+    response_function done;
+    client_response response;
+    std::size_t max_response_bytes = 0;
+    bool too_large = false;
+    curl_slist* headers = nullptr;
+    CURL* handle = nullptr;
+
+    transfer() = default;
+    transfer(const transfer&) = delete;
+    transfer& operator=(const transfer&) = delete;
+    ~transfer()
+    {
+        curl_slist_free_all(this->headers);
+        if (this->handle != nullptr) {
+            curl_easy_cleanup(this->handle);
+        }
+    }
+};
+
+std::size_t on_body(char* data, std::size_t size, std::size_t count, void* user)
+{
+    transfer& to = *static_cast<transfer*>(user);
+    const std::size_t bytes = size * count;
+    if (to.response.body.size() + bytes > to.max_response_bytes) {
+        to.too_large = true;
+        return 0;
+    }
+    to.response.body.append(data, bytes);
+    return bytes;
+}
+
+/// Reads the status and the type that the handle holds after a whole answer.
+void read_outcome(transfer& of)
+{
+    long status = 0;
+    curl_easy_getinfo(of.handle, CURLINFO_RESPONSE_CODE, &status);
+    of.response.status = static_cast<int>(status);
+    const char* content_type = nullptr;
+    curl_easy_getinfo(of.handle, CURLINFO_CONTENT_TYPE, &content_type);
+    if (content_type != nullptr) {
+        of.response.content_type = content_type;
+    }
+}
+
+absl::Status classify(const transfer& of, CURLcode code)
+{
+    if (of.too_large) {
+        return make_error(http_errc::answer_too_large, of.request.url);
+    }
+    if (code == CURLE_PARTIAL_FILE) {
+        return make_error(http_errc::incomplete_answer, curl_easy_strerror(code));
+    }
+    // Without a connection there was nothing to send over.
+    curl_off_t pretransfer_us = 0;
+    curl_easy_getinfo(of.handle, CURLINFO_PRETRANSFER_TIME_T, &pretransfer_us);
+    const bool connected = pretransfer_us > 0;
+    if (code == CURLE_COULDNT_CONNECT || !connected) {
+        return make_error(http_errc::not_connected, curl_easy_strerror(code));
+    }
+    return make_error(http_errc::lost_after_send, curl_easy_strerror(code));
+}
+
+void prepare(transfer& of)
+{
+    of.handle = curl_easy_init();
+    const client_request& request = of.request;
+    curl_easy_setopt(of.handle, CURLOPT_URL, request.url.c_str());
+    curl_easy_setopt(of.handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    if (request.method != "GET") {
+        curl_easy_setopt(of.handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(request.body.size()));
+        curl_easy_setopt(of.handle, CURLOPT_POSTFIELDS, request.body.c_str());
+    }
+    for (const auto& [name, value] : request.headers) {
+        of.headers = curl_slist_append(of.headers, (name + ": " + value).c_str());
+    }
+    // The server would otherwise be asked for leave before larger bodies, at a round trip's cost.
+    of.headers = curl_slist_append(of.headers, "Expect:");
+    curl_easy_setopt(of.handle, CURLOPT_HTTPHEADER, of.headers);
+    curl_easy_setopt(of.handle, CURLOPT_WRITEFUNCTION, on_body);
+    curl_easy_setopt(of.handle, CURLOPT_WRITEDATA, &of);
+    curl_easy_setopt(of.handle, CURLOPT_PRIVATE, &of);
+    curl_easy_setopt(of.handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(of.handle, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(of.handle, CURLOPT_TCP_NODELAY, 1L);
+    if (request.at_most_once) {
+        // libcurl sends a request again when a reused connection turns out to be dead.
+        curl_easy_setopt(of.handle, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(of.handle, CURLOPT_FORBID_REUSE, 1L);
+    }
+    const milliseconds left = remaining_until(request.deadline, std::chrono::steady_clock::now());
+    curl_easy_setopt(of.handle, CURLOPT_TIMEOUT_MS,
+                     static_cast<long>(std::max<std::int64_t>(left.count(), 1)));
+}
+
+} // namespace
+
+struct client::implementation {
+    client_options options;
+    CURLM* multi = nullptr;
+    std::thread thread;
+    std::mutex lock;
+    bool stopping = false;
+    std::vector<std::unique_ptr<transfer>> added;
+    std::vector<std::uint64_t> cancelled;
+    std::atomic<std::uint64_t> next_number{1};
+    // Touched by the client's thread only.
+    std::map<std::uint64_t, std::unique_ptr<transfer>> running;
+
+    void run();
+    bool take_orders();
+    void finish_completed();
+    void cancel_transfer(std::uint64_t number);
+    void finish(transfer& ended, absl::StatusOr<client_response> result);
+};
+
+bool client::implementation::take_orders()
+{
+    std::vector<std::unique_ptr<transfer>> begun;
+    std::vector<std::uint64_t> ended;
+    {
+        const std::lock_guard<std::mutex> guard(this->lock);
+        if (this->stopping) {
+            return false;
+        }
+        begun.swap(this->added);
+        ended.swap(this->cancelled);
+    }
+    for (std::unique_ptr<transfer>& each : begun) {
+        prepare(*each);
+        curl_multi_add_handle(this->multi, each->handle);
+        this->running.emplace(each->number, std::move(each));
+    }
+    for (const std::uint64_t number : ended) {
+        this->cancel_transfer(number);
+    }
+    return true;
+}
+
+void client::implementation::cancel_transfer(std::uint64_t number)
+{
+    const auto found = this->running.find(number);
+    if (found != this->running.end()) {
+        this->finish(*found->second, classify(*found->second, CURLE_ABORTED_BY_CALLBACK));
+    }
+}
+
+void client::implementation::finish(transfer& ended, absl::StatusOr<client_response> result)
+{
+    const auto found = this->running.find(ended.number);
+    const std::unique_ptr<transfer> owned = std::move(found->second);
+    this->running.erase(found);
+    curl_multi_remove_handle(this->multi, owned->handle);
+    owned->done(std::move(result));
+}
+
+void client::implementation::finish_completed()
+{
+    int left = 0;
+    while (const CURLMsg* message = curl_multi_info_read(this->multi, &left)) {
+        if (message->msg != CURLMSG_DONE) {
+            continue;
+        }
+        char* user = nullptr;
+        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &user);
+        transfer& ended = *reinterpret_cast<transfer*>(user);
+        const CURLcode code = message->data.result;
+        if (code == CURLE_OK) {
+            read_outcome(ended);
+            this->finish(ended, std::move(ended.response));
+        }
+        else {
+            this->finish(ended, classify(ended, code));
+        }
+    }
+}
+
+void client::implementation::run()
+{
+    while (this->take_orders()) {
+        int running_count = 0;
+        curl_multi_perform(this->multi, &running_count);
+        this->finish_completed();
+        curl_multi_poll(this->multi, nullptr, 0, poll_timeout_ms, nullptr);
+    }
+    while (!this->running.empty()) {
+        this->cancel_transfer(this->running.begin()->first);
+    }
+}
+
+client::client(const client_options& options) : impl(std::make_unique<implementation>())
+{
+    static const CURLcode initialised = curl_global_init(CURL_GLOBAL_DEFAULT);
+    static_cast<void>(initialised);
+    this->impl->options = options;
+    this->impl->multi = curl_multi_init();
+    curl_multi_setopt(this->impl->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                      options.max_connections_per_host);
+    this->impl->thread = std::thread([this] { this->impl->run(); });
+}
+
+client::~client()
+{
+    {
+        const std::lock_guard<std::mutex> guard(this->impl->lock);
+        this->impl->stopping = true;
+    }
+    curl_multi_wakeup(this->impl->multi);
+    this->impl->thread.join();
+    curl_multi_cleanup(this->impl->multi);
+}
+
+std::uint64_t client::send(client_request request, response_function done)
+{
+    std::unique_ptr<transfer> added = std::make_unique<transfer>();
+    added->number = this->impl->next_number++;
+    added->request = std::move(request);
+    added->done = std::move(done);
+    added->max_response_bytes = this->impl->options.max_response_bytes;
+    const std::uint64_t number = added->number;
+    {
+        const std::lock_guard<std::mutex> guard(this->impl->lock);
+        this->impl->added.push_back(std::move(added));
+    }
+    curl_multi_wakeup(this->impl->multi);
+    return number;
+}
+
+void client::cancel(std::uint64_t request)
+{
+    {
+        const std::lock_guard<std::mutex> guard(this->impl->lock);
+        this->impl->cancelled.push_back(request);
+    }
+    curl_multi_wakeup(this->impl->multi);
+}
+
+} // namespace redwingwheel::http
--- /dev/null
+++ b/src/libhttp/http_errors.cpp
@@ -0,0 +1,38 @@
+#include "redwingwheel/http_server.h"
+
+namespace redwingwheel::http {
+
+std::string_view error_name(http_errc code)
+{
+    switch (code) {
+    case http_errc::listen_failed:
+        return "listen failed";
+    case http_errc::not_connected:
+        return "not connected";
+    case http_errc::lost_after_send:
+        return "connection lost after send";
+    case http_errc::incomplete_answer:
+        return "incomplete answer";
+    case http_errc::answer_too_large:
+        return "answer too large";
+    }
+    return "unknown";
+}
+
+absl::StatusCode error_category(http_errc code)
+{
+    switch (code) {
+    case http_errc::listen_failed:
+    case http_errc::not_connected:
+        return absl::StatusCode::kUnavailable;
+    case http_errc::lost_after_send:
+        return absl::StatusCode::kUnknown;
+    case http_errc::incomplete_answer:
+        return absl::StatusCode::kDataLoss;
+    case http_errc::answer_too_large:
+        return absl::StatusCode::kResourceExhausted;
+    }
+    return absl::StatusCode::kUnknown;
+}
+
+} // namespace redwingwheel::http
--- /dev/null
+++ b/src/libhttp/http_test.cpp
@@ -0,0 +1,236 @@
+#include "redwingwheel/http_client.h"
+
+#include <atomic>
+#include <future>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+namespace http = redwingwheel::http;
+namespace wire = redwingwheel::wire;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using redwingwheel::milliseconds;
+using redwingwheel::steady_time;
+
+namespace {
+
+steady_time in(milliseconds time)
+{
+    return std::chrono::steady_clock::now() + time;
+}
+
+wire::address free_address()
+{
+    asio::io_context context;
+    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    return {"127.0.0.1", acceptor.local_endpoint().port()};
+}
+
+absl::StatusOr<http::client_response> get(http::client& client, const wire::address& from,
+                                          const std::string& path, milliseconds patience,
+                                          const std::string& body = "")
+{
+    std::promise<absl::StatusOr<http::client_response>> result;
+    http::client_request request;
+    request.method = body.empty() ? "GET" : "POST";
+    request.url = fmt::format("http://{}{}", wire::to_string(from), path);
+    request.body = body;
+    request.deadline = in(patience);
+    client.send(request, [&result](absl::StatusOr<http::client_response> response) {
+        result.set_value(std::move(response));
+    });
+    return result.get_future().get();
+}
+
+/// Answers /late/N after a moment from another thread, everything else at once with its path.
+class late_server {
+public:
+    late_server()
+        : server(options(), [this](http::server_request request, http::responder respond) {
+              if (request.path.starts_with("/late/")) {
+                  this->answer_later(request.path, std::move(respond));
+                  return;
+              }
+              respond({200, "text/plain", request.path + request.body, {}});
+          })
+    {
+        REQUIRE(this->server.start(this->address).ok());
+    }
+    ~late_server()
+    {
+        for (std::thread& each : this->threads) {
+            each.join();
+        }
+    }
+    late_server(const late_server&) = delete;
+    late_server& operator=(const late_server&) = delete;
+
+    static http::server_options options()
+    {
+        http::server_options limits;
+        limits.max_request_bytes = 64 * 1024;
+        return limits;
+    }
+
+    wire::address address = free_address();
+    std::mutex lock;
+    std::vector<std::thread> threads;
+    http::server server;
+
+private:
+    void answer_later(const std::string& path, http::responder respond)
+    {
+        const std::lock_guard<std::mutex> guard(this->lock);
+        this->threads.emplace_back([path, respond = std::move(respond)] {
+            std::this_thread::sleep_for(milliseconds(100));
+            respond({200, "text/plain", path, {}});
+        });
+    }
+};
+
+/// A server that sends fixed bytes to the first connection and closes it.
+class raw_server {
+public:
+    explicit raw_server(std::string bytes) : thread([this, bytes] { this->serve(bytes); }) {}
+    ~raw_server() { this->thread.join(); }
+    raw_server(const raw_server&) = delete;
+    raw_server& operator=(const raw_server&) = delete;
+
+    [[nodiscard]] wire::address address() const
+    {
+        return {"127.0.0.1", this->acceptor.local_endpoint().port()};
+    }
+
+private:
+    void serve(const std::string& bytes)
+    {
+        tcp::socket peer = this->acceptor.accept();
+        asio::streambuf request;
+        asio::read_until(peer, request, "\r\n\r\n");
+        asio::write(peer, asio::buffer(bytes));
+    }
+
+    asio::io_context context;
+    tcp::acceptor acceptor{context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)};
+    std::thread thread;
+};
+
+std::optional<http::http_errc> failure(const absl::StatusOr<http::client_response>& result)
+{
+    return redwingwheel::error_code<http::http_errc>(result.status());
+}
+
+} // namespace
+
+// Guards against an answer given late, from another thread, being lost.
+TEST_CASE("a handler may answer later from another thread", "[http]")
+{
+    late_server test;
+    http::client client({});
+    const absl::StatusOr<http::client_response> response =
+        get(client, test.address, "/late/1", milliseconds(3000));
+    REQUIRE(response.ok());
+    REQUIRE(response->body == "/late/1");
+}
+
+// Guards against an answer to a caller that went away reaching the next connection, which may get
+// the same file descriptor.
+TEST_CASE("answers of vanished callers reach nobody else", "[http]")
+{
+    late_server test;
+    http::client impatient({});
+    http::client patient({});
+    int wrong = 0;
+    for (int round = 0; round < 20; ++round) {
+        const std::string late = fmt::format("/late/{}", round);
+        std::vector<std::thread> leaving;
+        for (int index = 0; index < 4; ++index) {
+            leaving.emplace_back([&test, &late] {
+                http::client own({});
+                static_cast<void>(get(own, test.address, late, milliseconds(95)));
+            });
+        }
+        const std::string own_path = fmt::format("/late/own-{}", round);
+        const absl::StatusOr<http::client_response> own =
+            get(patient, test.address, own_path, milliseconds(3000));
+        for (std::thread& each : leaving) {
+            each.join();
+        }
+        if (!own.ok() || own->body != own_path) {
+            ++wrong;
+        }
+    }
+    REQUIRE(wrong == 0);
+}
+
+// Guards against memory being taken by a body over the limit, and against harm to other callers.
+TEST_CASE("a body over the limit is refused and others go on", "[http]")
+{
+    late_server test;
+    http::client client({});
+    const absl::StatusOr<http::client_response> large =
+        get(client, test.address, "/x", milliseconds(3000), std::string(200 * 1024, 'a'));
+    REQUIRE((!large.ok() || large->status == 413));
+    REQUIRE(get(client, test.address, "/y", milliseconds(3000))->body == "/y");
+    REQUIRE(test.server.open_requests() == 0);
+}
+
+// Guards against a planned stop that cuts an answer, and against a crash by answers after it.
+TEST_CASE("a stop waits for open requests and drops later answers", "[http]")
+{
+    late_server test;
+    http::client client({});
+    std::promise<absl::StatusOr<http::client_response>> result;
+    http::client_request request;
+    request.url = fmt::format("http://{}/late/7", wire::to_string(test.address));
+    request.deadline = in(milliseconds(3000));
+    client.send(request, [&result](absl::StatusOr<http::client_response> response) {
+        result.set_value(std::move(response));
+    });
+    while (test.server.open_requests() == 0) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    SECTION("drained")
+    {
+        REQUIRE(test.server.wait_until_idle(in(milliseconds(3000))) == 0);
+        test.server.stop();
+        const absl::StatusOr<http::client_response> response = result.get_future().get();
+        REQUIRE(response.ok());
+        REQUIRE(response->body == "/late/7");
+    }
+    SECTION("not drained")
+    {
+        test.server.stop();
+        REQUIRE(failure(result.get_future().get()) == http::http_errc::lost_after_send);
+    }
+}
+
+// Guards against a truncated body being taken for a whole answer.
+TEST_CASE("an answer shorter than announced is reported", "[http]")
+{
+    raw_server truncating("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort");
+    http::client client({});
+    REQUIRE(failure(get(client, truncating.address(), "/", milliseconds(3000))) ==
+            http::http_errc::incomplete_answer);
+}
+
+// Guards against "not run" being concluded for a request that a server received.
+TEST_CASE("failures tell a missing connection from a lost one", "[http]")
+{
+    http::client client({});
+    REQUIRE(failure(get(client, free_address(), "/", milliseconds(3000))) ==
+            http::http_errc::not_connected);
+    raw_server closing("");
+    REQUIRE(failure(get(client, closing.address(), "/", milliseconds(3000))) ==
+            http::http_errc::lost_after_send);
+    late_server test;
+    REQUIRE(failure(get(client, test.address, "/late/1", milliseconds(30))) ==
+            http::http_errc::lost_after_send);
+}
