Add permits, the worker table, gang member and gang coordinator

Ruled out: freezing a lost member's lease end when the worker polls again under the same incarnation, because the answer renews the lease; only a restart freezes it. Ruled out: resuming a half reserved gang after a leader change, because the remaining reserve time is not in the log; it is abandoned. The start limit is 1.5 s: what is left of the reserve, one poll and delays.

--- a/src/include/redwingwheel/gang.h
+++ b/src/include/redwingwheel/gang.h
@@ -158,8 +158,9 @@
     milliseconds reserve_life{2000};
     /// All members must be ready this long before the reserve ends: one poll, a commit and delays.
     milliseconds release_window{600};
-    /// Time from the applied release until every member must have reported running.
-    milliseconds start_limit{2000};
+    /// Time from the applied release until every member must have reported running: what is left of
+    /// the reserve, one poll and delays.
+    milliseconds start_limit{1500};
 };
 
 struct gang_statistics {
--- a/src/include/redwingwheel/gang_messages.h
+++ b/src/include/redwingwheel/gang_messages.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -15,7 +15,7 @@
 /// Messages and log records of gangs.
 namespace redwingwheel::membership {
 
-enum class membership_errc { malformed_gang = 1, gang_exists, cells_in_use, not_leading };
+enum class membership_errc { malformed_gang = 1, gang_exists, cells_in_use };
 
 [[nodiscard]] constexpr std::string_view error_layer(membership_errc)
 {
@@ -33,7 +33,12 @@
     std::uint64_t epoch = 0;
     std::uint32_t member = 0;
 
-    [[nodiscard]] auto operator<=>(const task_key&) const = default;
+    [[nodiscard]] bool operator==(const task_key&) const = default;
+    [[nodiscard]] bool operator<(const task_key& other) const
+    {
+        return std::tie(this->job, this->epoch, this->member) <
+               std::tie(other.job, other.epoch, other.member);
+    }
     MSGPACK_DEFINE(job, epoch, member)
 };
 
--- /dev/null
+++ b/src/libmembership/gang_coordinator.cpp
@@ -0,0 +1,379 @@
+#include "redwingwheel/gang.h"
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+#include <fmt/format.h>
+
+/// The coordinator's interface: what callers, reports and the log tell it, and the commands it
+/// hands out. The steps of a gang are in gang_coordinator_steps.cpp.
+namespace redwingwheel::membership {
+
+namespace {
+
+/// Commands that free something come first, so that a reserve in the same answer finds it free.
+int order_of(gang_command_kind kind)
+{
+    switch (kind) {
+    case gang_command_kind::stop:
+    case gang_command_kind::acknowledge:
+        return 0;
+    case gang_command_kind::reserve:
+        return 2;
+    default:
+        return 1;
+    }
+}
+
+std::uint64_t remaining_ms(std::optional<steady_time> deadline, steady_time now)
+{
+    return deadline.has_value()
+               ? static_cast<std::uint64_t>(remaining_until(*deadline, now).count())
+               : 0;
+}
+
+} // namespace
+
+gang_coordinator::gang_coordinator(clock_function clock_source, gang_options chosen_options)
+    : clock(std::move(clock_source)), options(chosen_options)
+{
+}
+
+void gang_coordinator::restore(std::uint64_t new_term, std::span<const gang_record> records)
+{
+    this->term = new_term;
+    this->gangs.clear();
+    this->workers.clear();
+    this->proposals.clear();
+    const steady_time now = this->clock();
+    for (const gang_record& record : records) {
+        gang_state& gang = this->gangs[record.job];
+        gang.epoch = record.epoch;
+        for (const gang_member_record& member : record.members) {
+            member_state& state = gang.members.emplace_back();
+            state.record = member;
+            state.at =
+                record.step == gang_step::placed ? member_step::reserving : member_step::ready;
+        }
+        this->link_workers(record.job, gang);
+        gang.start_deadline = now + this->options.start_limit;
+        gang.phase = gang_phase::released;
+        if (record.step == gang_step::placed) {
+            this->abandon(record.job, gang, gang_end_reason::leader_changed);
+        }
+        else if (record.step == gang_step::broken) {
+            gang.phase = gang_phase::stopping;
+            gang.broken = true;
+            gang.reason = record.broken_reason;
+        }
+    }
+}
+
+gang_coordinator::worker_state& gang_coordinator::worker_entry(std::string_view worker)
+{
+    const auto [found, added] = this->workers.try_emplace(std::string(worker));
+    if (added && !this->options.permits.faults.no_wait_after_leader_change) {
+        // The former leader, or another path, may have granted a moment ago.
+        found->second.last_grant = this->clock();
+    }
+    return found->second;
+}
+
+void gang_coordinator::link_workers(std::string_view job, const gang_state& gang)
+{
+    for (const member_state& member : gang.members) {
+        this->worker_entry(member.record.worker).jobs.emplace(job);
+    }
+}
+
+void gang_coordinator::remove(gang_map::iterator gang)
+{
+    for (const member_state& member : gang->second.members) {
+        this->worker_entry(member.record.worker).jobs.erase(gang->first);
+    }
+    this->gangs.erase(gang);
+}
+
+absl::Status gang_coordinator::place(std::string_view job, std::uint64_t epoch,
+                                     std::vector<gang_member_record> members)
+{
+    const bool worker_named =
+        std::all_of(members.begin(), members.end(),
+                    [](const gang_member_record& member) { return !member.worker.empty(); });
+    if (job.empty() || members.empty() || !worker_named) {
+        return make_error(membership_errc::malformed_gang,
+                          fmt::format("gang '{}' has no job, member or worker name", job));
+    }
+    if (this->contains(job)) {
+        return make_error(membership_errc::gang_exists,
+                          fmt::format("job '{}' has a live gang", job));
+    }
+    if (!this->cells_free(members)) {
+        return make_error(membership_errc::cells_in_use,
+                          fmt::format("gang '{}' names accelerators in use", job));
+    }
+    gang_state& gang = this->gangs[std::string(job)];
+    gang.epoch = epoch;
+    gang.reserve_deadline = this->clock() + this->options.reserve_life;
+    for (gang_member_record& member : members) {
+        const std::uint64_t current = this->worker_entry(member.worker).incarnation;
+        member_state& state = gang.members.emplace_back();
+        state.lost = member.incarnation != 0 && current != 0 && member.incarnation != current;
+        state.record = std::move(member);
+    }
+    this->link_workers(job, gang);
+    return absl::OkStatus();
+}
+
+bool gang_coordinator::cells_free(std::span<const gang_member_record> members) const
+{
+    std::map<std::string_view, std::uint64_t> taken;
+    for (const gang_member_record& member : members) {
+        std::uint64_t& mask = taken[member.worker];
+        if ((mask & member.accelerator_mask) != 0) {
+            return false;
+        }
+        mask |= member.accelerator_mask;
+    }
+    for (const auto& [worker, mask] : taken) {
+        const auto known = this->workers.find(worker);
+        if (known == this->workers.end()) {
+            continue;
+        }
+        for (const std::string& job : known->second.jobs) {
+            for (const member_state& member : this->gangs.find(job)->second.members) {
+                if (member.record.worker == worker &&
+                    (member.record.accelerator_mask & mask) != 0) {
+                    return false;
+                }
+            }
+        }
+    }
+    return true;
+}
+
+void gang_coordinator::on_report(std::string_view worker, std::uint64_t incarnation,
+                                 const member_report& report)
+{
+    this->on_worker_incarnation(worker, incarnation);
+    const auto found = this->gangs.find(report.task.job);
+    const bool known = found != this->gangs.end() && found->second.epoch == report.task.epoch &&
+                       report.task.member < found->second.members.size() &&
+                       found->second.members[report.task.member].record.worker == worker;
+    if (!known) {
+        this->reply_to_unknown(this->worker_entry(worker), report);
+        return;
+    }
+    this->note_report(found->second.members[report.task.member], incarnation, report);
+    this->evaluate(found->first, found->second);
+}
+
+/// An attempt that is not live here has ended in the log, or was never logged as released.
+void gang_coordinator::reply_to_unknown(worker_state& worker, const member_report& report)
+{
+    const bool ended = report.kind == member_report_kind::ended ||
+                       report.kind == member_report_kind::reserve_expired;
+    this->counts.unknown_reports += ended ? 0 : 1;
+    gang_command reply;
+    reply.kind = ended ? gang_command_kind::acknowledge : gang_command_kind::stop;
+    reply.task = report.task;
+    worker.replies.push_back(std::move(reply));
+}
+
+void gang_coordinator::on_worker_lost(std::string_view worker)
+{
+    const std::set<std::string, std::less<>> jobs = this->worker_entry(worker).jobs;
+    for (const std::string& job : jobs) {
+        const auto gang = this->gangs.find(job);
+        for (member_state& member : gang->second.members) {
+            member.lost =
+                member.lost || (member.record.worker == worker && member.at != member_step::ended);
+        }
+        this->evaluate(job, gang->second);
+    }
+}
+
+void gang_coordinator::on_worker_incarnation(std::string_view worker, std::uint64_t incarnation)
+{
+    worker_state& known = this->worker_entry(worker);
+    if (known.incarnation == incarnation) {
+        return;
+    }
+    known.incarnation = incarnation;
+    known.replies.clear();
+    const steady_time former_end = known.last_grant + this->options.permits.surely_ended_after();
+    const std::set<std::string, std::less<>> jobs = known.jobs;
+    for (const std::string& job : jobs) {
+        const auto gang = this->gangs.find(job);
+        for (member_state& member : gang->second.members) {
+            const bool other =
+                member.record.incarnation != 0 && member.record.incarnation != incarnation;
+            if (member.record.worker == worker && other && !member.former_lease_end.has_value()) {
+                member.former_lease_end = former_end;
+                member.lost = member.at != member_step::ended;
+            }
+        }
+        this->evaluate(job, gang->second);
+    }
+}
+
+void gang_coordinator::reclaim(std::string_view job, steady_time checkpoint_deadline,
+                               steady_time stop_deadline)
+{
+    const auto gang = this->gangs.find(job);
+    if (gang == this->gangs.end()) {
+        return;
+    }
+    gang->second.stop_deadline = stop_deadline;
+    if (gang->second.phase == gang_phase::running) {
+        gang->second.checkpoint_deadline = checkpoint_deadline;
+        this->evaluate(gang->first, gang->second);
+    }
+    else {
+        this->stop_whole(gang->first, gang->second, gang_end_reason::reclaimed);
+    }
+}
+
+void gang_coordinator::cancel(std::string_view job)
+{
+    const auto gang = this->gangs.find(job);
+    if (gang != this->gangs.end()) {
+        this->stop_whole(gang->first, gang->second, gang_end_reason::cancelled);
+    }
+}
+
+void gang_coordinator::throttle(std::string_view job, std::uint32_t speed_percent)
+{
+    const auto gang = this->gangs.find(job);
+    if (gang != this->gangs.end()) {
+        gang->second.speed_percent = std::clamp(speed_percent, 1U, 100U);
+    }
+}
+
+void gang_coordinator::tick()
+{
+    for (auto& [job, gang] : this->gangs) {
+        this->evaluate(job, gang);
+    }
+}
+
+std::vector<gang_command> gang_coordinator::commands_for(std::string_view worker,
+                                                         std::uint64_t incarnation)
+{
+    this->on_worker_incarnation(worker, incarnation);
+    worker_state& known = this->worker_entry(worker);
+    known.last_grant = this->clock();
+    std::vector<gang_command> out = std::exchange(known.replies, {});
+    for (const std::string& job : known.jobs) {
+        this->append_commands(job, this->gangs.find(job)->second, worker, out);
+    }
+    for (gang_command& command : out) {
+        command.incarnation = incarnation;
+        command.term = this->term;
+    }
+    std::stable_sort(out.begin(), out.end(),
+                     [](const gang_command& left, const gang_command& right) {
+                         return order_of(left.kind) < order_of(right.kind);
+                     });
+    return out;
+}
+
+void gang_coordinator::append_commands(const std::string& job, const gang_state& gang,
+                                       std::string_view worker,
+                                       std::vector<gang_command>& out) const
+{
+    for (std::size_t index = 0; index < gang.members.size(); ++index) {
+        const member_state& member = gang.members[index];
+        // A member of a former incarnation is beyond the reach of commands.
+        if (member.record.worker != worker || member.former_lease_end.has_value()) {
+            continue;
+        }
+        std::optional<gang_command> command = this->command_for(gang, member);
+        if (command.has_value()) {
+            command->task = {job, gang.epoch, static_cast<std::uint32_t>(index)};
+            out.push_back(std::move(*command));
+        }
+    }
+}
+
+std::optional<gang_command> gang_coordinator::command_for(const gang_state& gang,
+                                                          const member_state& member) const
+{
+    const steady_time now = this->clock();
+    gang_command command;
+    switch (gang.phase) {
+    case gang_phase::reserving:
+        if (member.at == member_step::reserving && now < gang.reserve_deadline) {
+            command.kind = gang_command_kind::reserve;
+            command.accelerator_mask = member.record.accelerator_mask;
+            command.slots = member.record.slots;
+            command.remaining_ms = remaining_ms(gang.reserve_deadline, now);
+            return command;
+        }
+        break;
+    case gang_phase::released:
+    case gang_phase::running:
+        if (member.at == member_step::ready) {
+            command.kind = gang_command_kind::release;
+            return command;
+        }
+        if (member.at == member_step::running && gang.checkpoint_deadline.has_value() &&
+            !member.checkpointed) {
+            command.kind = gang_command_kind::checkpoint;
+            command.remaining_ms = remaining_ms(gang.checkpoint_deadline, now);
+            return command;
+        }
+        if (member.at == member_step::running && member.speed_percent != gang.speed_percent) {
+            command.kind = gang_command_kind::throttle;
+            command.speed_percent = gang.speed_percent;
+            return command;
+        }
+        break;
+    case gang_phase::stopping:
+    case gang_phase::abandoning:
+        if (member.at != member_step::ended) {
+            command.kind = gang_command_kind::stop;
+            command.remaining_ms = remaining_ms(gang.stop_deadline, now);
+            return command;
+        }
+        break;
+    case gang_phase::recording:
+    case gang_phase::ending:
+        break;
+    }
+    return std::nullopt;
+}
+
+void gang_coordinator::note_grant(std::string_view worker)
+{
+    this->worker_entry(worker).last_grant = this->clock();
+}
+
+std::vector<gang_proposal> gang_coordinator::take_proposals()
+{
+    return std::exchange(this->proposals, {});
+}
+
+std::vector<gang_view> gang_coordinator::list() const
+{
+    std::vector<gang_view> views;
+    views.reserve(this->gangs.size());
+    for (const auto& [job, gang] : this->gangs) {
+        gang_view& view = views.emplace_back();
+        view.job = job;
+        view.epoch = gang.epoch;
+        view.phase = gang.phase;
+        for (const member_state& member : gang.members) {
+            view.members.push_back(member.record);
+        }
+    }
+    return views;
+}
+
+bool gang_coordinator::contains(std::string_view job) const
+{
+    return this->gangs.find(job) != this->gangs.end();
+}
+
+} // namespace redwingwheel::membership
--- /dev/null
+++ b/src/libmembership/gang_member.cpp
@@ -0,0 +1,364 @@
+#include "redwingwheel/gang.h"
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+namespace redwingwheel::membership {
+
+namespace {
+
+/// Bounds remaining times from messages, so that a damaged value cannot overflow the clock.
+constexpr std::uint64_t longest_remaining_ms = 24ULL * 60 * 60 * 1000;
+
+steady_time deadline_after(steady_time now, std::uint64_t remaining_ms)
+{
+    const std::uint64_t bounded = std::min(remaining_ms, longest_remaining_ms);
+    return now + milliseconds(static_cast<std::int64_t>(bounded));
+}
+
+} // namespace
+
+gang_member::gang_member(clock_function clock_source, permit_holder& holder,
+                         std::uint64_t drawn_incarnation, gang_member_options chosen_options)
+    : clock(std::move(clock_source)), permits(holder), incarnation(drawn_incarnation),
+      options(chosen_options)
+{
+}
+
+std::vector<gang_action> gang_member::handle(const gang_command& command)
+{
+    actions out;
+    // A lease that ran out during a pause must be seen before anything renews it.
+    for (auto& [task, state] : this->tasks) {
+        this->check_deadlines(task, state, out);
+    }
+    if (command.term < this->highest_term) {
+        return out;
+    }
+    this->highest_term = command.term;
+    if (!this->addressed_here(command)) {
+        return out;
+    }
+    switch (command.kind) {
+    case gang_command_kind::reserve:
+        this->reserve(command);
+        break;
+    case gang_command_kind::release:
+        this->release(command, out);
+        break;
+    case gang_command_kind::checkpoint:
+        this->checkpoint(command, out);
+        break;
+    case gang_command_kind::throttle:
+        this->throttle(command, out);
+        break;
+    case gang_command_kind::stop:
+        this->stop(command, out);
+        break;
+    case gang_command_kind::acknowledge:
+        this->acknowledge(command);
+        break;
+    }
+    return out;
+}
+
+bool gang_member::addressed_here(const gang_command& command) const
+{
+    const bool open_reserve =
+        command.kind == gang_command_kind::reserve && command.incarnation == 0;
+    return open_reserve || command.incarnation == this->incarnation ||
+           this->options.faults.ignore_incarnation;
+}
+
+gang_member::task_state* gang_member::find(const task_key& task)
+{
+    const auto found = this->tasks.find(task);
+    if (found != this->tasks.end()) {
+        return &found->second;
+    }
+    return nullptr;
+}
+
+void gang_member::reserve(const gang_command& command)
+{
+    if (command.remaining_ms == 0 || this->find(command.task) != nullptr ||
+        this->remembered(command.task)) {
+        return;
+    }
+    const bool possible = this->can_reserve(command);
+    task_state& state = this->tasks[command.task];
+    state.accelerator_mask = command.accelerator_mask;
+    state.slots = command.slots;
+    state.reserve_deadline = deadline_after(this->clock(), command.remaining_ms);
+    this->changed = true;
+    if (!possible) {
+        this->end(command.task, state, task_outcome::not_run);
+    }
+}
+
+bool gang_member::can_reserve(const gang_command& command) const
+{
+    const bool known_accelerators = this->options.accelerators >= 64 ||
+                                    (command.accelerator_mask >> this->options.accelerators) == 0;
+    if (!known_accelerators || (command.accelerator_mask & this->accelerators_in_use()) != 0 ||
+        command.slots > this->options.slots - this->slots_in_use()) {
+        return false;
+    }
+    // Another attempt of the same job must have ended here first.
+    return std::none_of(this->tasks.begin(), this->tasks.end(), [&command](const auto& entry) {
+        return entry.first.job == command.task.job && entry.first.epoch != command.task.epoch &&
+               entry.second.at != step::ended;
+    });
+}
+
+void gang_member::release(const gang_command& command, actions& out)
+{
+    for (auto& [task, state] : this->tasks) {
+        const bool same_epoch =
+            task.epoch == command.task.epoch || this->options.faults.ignore_epoch;
+        if (task.job == command.task.job && task.member == command.task.member && same_epoch &&
+            state.at == step::reserved) {
+            state.at = step::release_pending;
+            this->try_start(task, state, out);
+        }
+    }
+}
+
+void gang_member::try_start(const task_key& task, task_state& state, actions& out)
+{
+    if (this->permits.withdrawn()) {
+        this->end(task, state, task_outcome::not_run);
+    }
+    else if (this->permits.may_start() && this->permits.lease_valid()) {
+        state.at = step::starting;
+        state.lease_deadline = this->permits.lease_deadline();
+        this->changed = true;
+        out.push_back(start_task{task, state.accelerator_mask, state.slots, state.lease_deadline});
+    }
+}
+
+bool gang_member::begin_start(const task_key& task)
+{
+    task_state* const state = this->find(task);
+    if (state == nullptr || state->at != step::starting || state->sent) {
+        return false;
+    }
+    const bool permitted = this->permits.may_start() && this->clock() < state->lease_deadline;
+    if (!permitted && !this->options.faults.skip_check_at_act) {
+        this->end(task, *state, task_outcome::not_run);
+        return false;
+    }
+    state->sent = true;
+    return true;
+}
+
+void gang_member::task_started(const task_key& task)
+{
+    task_state* const state = this->find(task);
+    if (state != nullptr && state->at == step::starting) {
+        state->at = step::running;
+        this->changed = true;
+    }
+}
+
+void gang_member::task_checkpointed(const task_key& task)
+{
+    task_state* const state = this->find(task);
+    if (state != nullptr && state->at != step::ended) {
+        state->checkpointed = true;
+        this->changed = true;
+    }
+}
+
+void gang_member::task_ended(const task_key& task, task_outcome outcome)
+{
+    task_state* const state = this->find(task);
+    if (state != nullptr && state->sent && state->at != step::ended) {
+        this->end(task, *state, outcome);
+    }
+}
+
+void gang_member::stop(const gang_command& command, actions& out)
+{
+    task_state* const state = this->find(command.task);
+    if (state == nullptr) {
+        // Nothing ran here for this attempt. The note keeps a late reserve or release from it.
+        if (!this->remembered(command.task)) {
+            this->end(command.task, this->tasks[command.task], task_outcome::not_run);
+        }
+        return;
+    }
+    this->begin_stop(command.task, *state, deadline_after(this->clock(), command.remaining_ms),
+                     out);
+}
+
+void gang_member::begin_stop(const task_key& task, task_state& state, steady_time deadline,
+                             actions& out)
+{
+    if (state.at == step::ended || state.at == step::stopping) {
+        return;
+    }
+    if (!state.sent) {
+        this->end(task, state, task_outcome::not_run);
+        return;
+    }
+    state.at = step::stopping;
+    state.stop_deadline = deadline;
+    state.next_stop = this->clock() + this->options.stop_period;
+    this->changed = true;
+    out.push_back(stop_task{task, deadline});
+}
+
+void gang_member::checkpoint(const gang_command& command, actions& out)
+{
+    task_state* const state = this->find(command.task);
+    if (state != nullptr && state->at == step::running && !state->checkpoint_asked) {
+        state->checkpoint_asked = true;
+        out.push_back(
+            checkpoint_task{command.task, deadline_after(this->clock(), command.remaining_ms)});
+    }
+}
+
+void gang_member::throttle(const gang_command& command, actions& out)
+{
+    task_state* const state = this->find(command.task);
+    if (state != nullptr && state->at == step::running &&
+        state->speed_percent != command.speed_percent) {
+        state->speed_percent = command.speed_percent;
+        out.push_back(throttle_task{command.task, command.speed_percent});
+    }
+}
+
+void gang_member::acknowledge(const gang_command& command)
+{
+    const task_state* const state = this->find(command.task);
+    if (state != nullptr && state->at == step::ended) {
+        this->tasks.erase(command.task);
+    }
+}
+
+std::vector<gang_action> gang_member::tick()
+{
+    actions out;
+    const steady_time now = this->clock();
+    for (auto& [task, state] : this->tasks) {
+        this->check_deadlines(task, state, out);
+        const bool held = state.sent && (state.at == step::starting || state.at == step::running);
+        if (state.at == step::release_pending) {
+            this->try_start(task, state, out);
+        }
+        else if (held && this->permits.lease_deadline() > state.lease_deadline) {
+            state.lease_deadline = this->permits.lease_deadline();
+            out.push_back(renew_lease{task, state.lease_deadline});
+        }
+        else if (state.at == step::stopping && now >= state.next_stop) {
+            state.next_stop = now + this->options.stop_period;
+            out.push_back(stop_task{task, state.stop_deadline});
+        }
+    }
+    return out;
+}
+
+void gang_member::check_deadlines(const task_key& task, task_state& state, actions& out)
+{
+    const steady_time now = this->clock();
+    const bool waiting = state.at == step::reserved || state.at == step::release_pending;
+    if (waiting && now >= state.reserve_deadline) {
+        state.expired = true;
+        this->end(task, state, task_outcome::not_run);
+    }
+    else if ((state.at == step::starting || state.at == step::running) &&
+             now >= state.lease_deadline) {
+        this->begin_stop(task, state, now, out);
+    }
+    // The backend server ends a task whose lease is not renewed, and a stopping task's is not. The
+    // wait covers the delivery of the last renewal, which is counted from its arrival there.
+    if (state.at == step::stopping && now >= state.lease_deadline + this->options.stop_period) {
+        this->end(task, state, task_outcome::unknown);
+    }
+}
+
+void gang_member::end(const task_key& task, task_state& state, task_outcome outcome)
+{
+    state.at = step::ended;
+    state.outcome = outcome;
+    this->changed = true;
+    this->remember(task);
+}
+
+bool gang_member::remembered(const task_key& task) const
+{
+    return this->ends.contains(task);
+}
+
+void gang_member::remember(const task_key& task)
+{
+    if (!this->ends.insert(task).second) {
+        return;
+    }
+    this->ends_in_order.push_back(task);
+    if (this->ends_in_order.size() > this->options.remembered_ends) {
+        this->ends.erase(this->ends_in_order.front());
+        this->ends_in_order.pop_front();
+    }
+}
+
+std::vector<member_report> gang_member::reports() const
+{
+    std::vector<member_report> all;
+    all.reserve(this->tasks.size());
+    for (const auto& [task, state] : this->tasks) {
+        member_report report;
+        report.task = task;
+        report.checkpointed = state.checkpointed;
+        report.speed_percent = state.speed_percent;
+        switch (state.at) {
+        case step::reserved:
+            report.kind = member_report_kind::reserved_ready;
+            break;
+        case step::release_pending:
+        case step::starting:
+            report.kind = member_report_kind::starting;
+            break;
+        case step::running:
+            report.kind = member_report_kind::running;
+            break;
+        case step::stopping:
+            report.kind = member_report_kind::stopping;
+            break;
+        case step::ended:
+            report.kind =
+                state.expired ? member_report_kind::reserve_expired : member_report_kind::ended;
+            report.outcome = state.outcome;
+            break;
+        }
+        all.push_back(std::move(report));
+    }
+    return all;
+}
+
+bool gang_member::take_changed()
+{
+    return std::exchange(this->changed, false);
+}
+
+std::uint64_t gang_member::accelerators_in_use() const
+{
+    std::uint64_t mask = 0;
+    for (const auto& [task, state] : this->tasks) {
+        mask |= state.at == step::ended ? 0 : state.accelerator_mask;
+    }
+    return mask;
+}
+
+std::uint32_t gang_member::slots_in_use() const
+{
+    std::uint32_t slots = 0;
+    for (const auto& [task, state] : this->tasks) {
+        slots += state.at == step::ended ? 0 : state.slots;
+    }
+    return slots;
+}
+
+} // namespace redwingwheel::membership
