Declare the decisions about single requests

Cause: the entry, the agent and the control role need the types of outcomes, admission, routing, retries and claims before the implementations are complete. Ruled out: one header for all of them, because the agent needs no router and the control role needs only claims and answers. Conclusion: callers can be written against these headers.

--- /dev/null
+++ b/src/include/redwingwheel/router.h
@@ -0,0 +1,190 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "redwingwheel/admission.h"
+#include "redwingwheel/clock.h"
+#include "redwingwheel/outcome.h"
+
+/// The entry's choice of an agent for each request.
+namespace redwingwheel::request {
+
+/// Returns uniformly distributed 64-bit numbers.
+using random_function = std::function<std::uint64_t()>;
+
+/// How an agent is picked. All but `estimated_load` are baselines for measurements.
+enum class routing_policy : std::uint8_t { estimated_load, random, round_robin, least_connections };
+
+[[nodiscard]] std::string_view to_string(routing_policy policy);
+
+/// What the entry knows of an agent, from control's table and the agent's polls.
+struct agent_info {
+    std::string worker;
+    std::string data_centre;
+    incarnation_id incarnation = 0;
+    /// False in a withdrawn data centre or without a permit.
+    bool may_start = true;
+    bool shutting_down = false;
+    /// End of the ramp after the data centre's return; a time in the past when there is none.
+    steady_time ramp_deadline;
+    load_report load;
+    /// Services offered; empty offers all.
+    std::vector<std::string> services;
+};
+
+struct router_options {
+    routing_policy policy = routing_policy::estimated_load;
+    std::string local_data_centre;
+    /// Cost of another data centre, both ways. 3.5 ms one way is the region's distance.
+    milliseconds link_cost{7};
+    /// Agents compared in each choice.
+    std::uint32_t choices = 2;
+    milliseconds ramp{10'000};
+    /// Share of its traffic that an agent gets at the start of its ramp.
+    double ramp_floor = 0.1;
+    /// An agent whose share of errors exceeds the average by this much gets probes only.
+    double suspend_error_share = 0.5;
+    milliseconds first_probe_after{1'000};
+    milliseconds last_probe_after{30'000};
+    /// Time in which a share of errors that nothing refreshes falls to half.
+    milliseconds error_half_life{20'000};
+    /// Milliseconds of score that an error share of 1 costs.
+    double error_penalty_ms = 2'000.0;
+    /// Pause after a refusal, doubled on each further one up to the bound.
+    milliseconds refusal_pause{20};
+    milliseconds refusal_pause_bound{500};
+};
+
+/// Why an agent that was looked at was left out.
+enum class skip_reason : std::uint8_t {
+    none,
+    excluded,
+    no_permit,
+    shutting_down,
+    service_not_offered,
+    ramping,
+    suspended,
+    refused_lately
+};
+
+[[nodiscard]] std::string_view to_string(skip_reason reason);
+
+struct candidate {
+    std::string worker;
+    std::string data_centre;
+    /// Expected milliseconds until the answer; meaningless when skipped.
+    double score_ms = 0.0;
+    skip_reason skipped = skip_reason::none;
+};
+
+/// The agent to send to. Passed back to `sent` and `answered`.
+struct choice {
+    std::string worker;
+    std::string data_centre;
+    incarnation_id incarnation = 0;
+    request_class priority = request_class::standard;
+    bool probe = false;
+};
+
+/// The choice, if any, with the record for the decision log.
+struct decision {
+    std::optional<choice> chosen;
+    std::vector<candidate> candidates;
+};
+
+/// What the entry saw of one sent attempt. `latency` runs from the send to the answer.
+struct answer_observation {
+    outcome_kind outcome = outcome_kind::unknown;
+    milliseconds latency{0};
+    std::optional<load_report> load;
+};
+
+/// Keeps the table of agents and chooses among them. Driven on one thread.
+class router {
+public:
+    router(router_options chosen, clock_function clock_source, random_function random_source);
+
+    /// Adds or replaces the knowledge of an agent. A new incarnation starts without errors and
+    /// without in-flight attempts.
+    void update_agent(const agent_info& info);
+    void remove_agent(std::string_view worker);
+
+    /// Picks an agent that is not in `excluded`. `chosen` is empty when no agent can take it.
+    [[nodiscard]] decision choose(const request_info& request,
+                                  std::span<const std::string> excluded);
+
+    /// To be called once for each choice that is sent, and `answered` once when it has ended.
+    void sent(const choice& made);
+    void answered(const choice& made, const answer_observation& seen);
+
+    [[nodiscard]] std::size_t agent_count() const { return this->agents.size(); }
+    [[nodiscard]] std::uint32_t in_flight(std::string_view worker) const;
+    /// Present share of errors of the agent; 0 for an unknown one.
+    [[nodiscard]] double error_share(std::string_view worker) const;
+
+private:
+    struct agent_state {
+        agent_info info;
+        std::array<std::uint32_t, class_count> in_flight{};
+        /// Own in-flight attempts when the load was reported, which the report already counts.
+        std::array<std::uint32_t, class_count> in_flight_at_report{};
+        double error_share = 0.0;
+        steady_time error_changed_at;
+        steady_time next_probe;
+        milliseconds probe_pause{0};
+        bool suspended = false;
+        bool probing = false;
+        steady_time paused_until;
+        std::uint32_t refusals_in_row = 0;
+    };
+    struct data_centre_agents {
+        std::string name;
+        std::vector<agent_state*> members;
+    };
+
+    [[nodiscard]] agent_state* find_live(const choice& made);
+    [[nodiscard]] skip_reason reason_to_skip(agent_state& agent, const request_info& request,
+                                             std::span<const std::string> excluded, bool lenient);
+    [[nodiscard]] bool probe_due(const agent_state& agent, const request_info& request) const;
+    [[nodiscard]] double decayed_errors(const agent_state& agent) const;
+    [[nodiscard]] double excess_errors(const agent_state& agent) const;
+    [[nodiscard]] double score(const agent_state& agent, const request_info& request) const;
+    [[nodiscard]] double wait_ms(const agent_state& agent, const request_info& request) const;
+    [[nodiscard]] double run_ms(const agent_state& agent, request_class priority) const;
+    [[nodiscard]] std::vector<agent_state*> sample(const std::vector<agent_state*>& members,
+                                                   const request_info& request,
+                                                   std::span<const std::string> excluded,
+                                                   std::vector<candidate>& record, bool lenient);
+    [[nodiscard]] agent_state* choose_by_load(const request_info& request,
+                                              std::span<const std::string> excluded, bool lenient,
+                                              std::vector<candidate>& record);
+    [[nodiscard]] agent_state* choose_by_baseline(const request_info& request,
+                                                  std::span<const std::string> excluded,
+                                                  std::vector<candidate>& record);
+    void note_error(agent_state& agent, const choice& made, bool failed);
+    void set_errors(agent_state& agent, double share);
+    void note_load(agent_state& agent, const load_report& load);
+    [[nodiscard]] std::uint64_t random_below(std::uint64_t bound);
+
+    router_options options;
+    clock_function clock;
+    random_function random;
+    std::map<std::string, agent_state, std::less<>> agents;
+    std::vector<agent_state*> local;
+    std::vector<agent_state*> remote;
+    /// Moving average of run times over all agents, for an agent that has not reported any.
+    std::array<double, class_count> fleet_duration_ms{};
+    /// Sum of the error shares of all agents, kept as they change.
+    double error_sum = 0.0;
+    std::uint64_t next_in_turn = 0;
+};
+
+} // namespace redwingwheel::request
