--- a/src/include/redwingwheel/admission.h
+++ b/src/include/redwingwheel/admission.h
@@ -12,49 +12,12 @@
 
 #include "redwingwheel/attempt_history.h"
 #include "redwingwheel/clock.h"
-#include "redwingwheel/outcome.h"
+#include "redwingwheel/fair_queue.h"
+#include "redwingwheel/request_info.h"
 
 /// The agent's queue: decides when an attempt gets a slot, waits or is refused.
 namespace redwingwheel::request {
 
-/// Order of precedence. The numbers index the per-class arrays below.
-enum class request_class : std::uint8_t { interactive, standard, batch };
-inline constexpr std::size_t class_count = 3;
-
-[[nodiscard]] std::string_view to_string(request_class priority);
-
-/// One request as the decisions see it.
-struct request_info {
-    attempt_id attempt = 0;
-    std::string account;
-    std::string service;
-    request_class priority = request_class::standard;
-    /// Share of the account within its class; values below 1 count as 1.
-    std::uint32_t account_weight = 1;
-    steady_time deadline;
-    /// Declared run time; 0 when not declared. History of the service replaces it once there is
-    /// any.
-    milliseconds expected_duration{0};
-    /// Slots taken while it runs; 0 takes a connection only.
-    std::uint32_t slots = 1;
-    /// Incarnation named by the claim; empty for idempotent work, which has no claim.
-    std::optional<incarnation_id> claim_incarnation;
-};
-
-/// The load of an agent as it travels in answers and polls. Arrays are by request_class.
-struct load_report {
-    std::uint32_t slots = 0;
-    std::array<std::uint32_t, class_count> running{};
-    std::array<std::uint32_t, class_count> queued{};
-    /// Slots held by long-lived tasks.
-    std::uint32_t held_slots = 0;
-    /// Moving average of the run time in milliseconds of attempts that ended as done; 0 before any.
-    std::array<double, class_count> duration_ms{};
-    /// Moving average of the share of attempts that ended as failed or unknown.
-    double error_share = 0.0;
-    MSGPACK_DEFINE(slots, running, queued, held_slots, duration_ms, error_share)
-};
-
 enum class refusal_reason : std::uint8_t {
     full,
     account_share_full,
@@ -140,7 +103,8 @@
     [[nodiscard]] dispatch finished(attempt_id attempt, outcome_kind outcome);
 
     /// Takes a waiting attempt out, or bars one that never arrived. A running one goes on.
-    [[nodiscard]] cancel_result cancel(attempt_id attempt);
+    /// `claimed` tells how long an attempt that never arrived stays barred.
+    [[nodiscard]] cancel_result cancel(attempt_id attempt, bool claimed = true);
 
     /// Refuses new work from now on; what is queued is refused as shutting_down, what runs goes on.
     [[nodiscard]] dispatch drain();
@@ -162,59 +126,51 @@
     struct running_attempt {
         request_info info;
         steady_time started_at;
-        /// Milliseconds of slot time charged to the account at the start.
+        /// Slot time in milliseconds charged to the account at the start.
         double charged_ms = 0.0;
     };
-    struct account_queue {
-        std::deque<request_info> waiting;
-        /// Virtual time up to which the account has used its share.
-        double finish_tag = 0.0;
-        std::uint32_t weight = 1;
-    };
-    struct class_queue {
-        std::map<std::string, account_queue, std::less<>> accounts;
-        double virtual_time = 0.0;
-        /// Virtual time of the class itself against the other background class.
-        double class_tag = 0.0;
-        std::uint32_t waiting = 0;
+    struct class_state {
+        fair_queue waiting;
         std::uint32_t running = 0;
         std::uint32_t slots_used = 0;
         double duration_ms = 0.0;
+        /// Virtual time up to which standard or batch work has used its share.
+        double share_tag = 0.0;
     };
 
     [[nodiscard]] std::optional<refusal_reason> reason_to_refuse(const request_info& offered) const;
-    [[nodiscard]] std::optional<refusal_reason> reason_not_to_queue(const request_info& offered);
+    [[nodiscard]] std::optional<refusal_reason> reason_not_to_wait(const request_info& offered);
+    [[nodiscard]] std::optional<refusal_reason> reason_at_start(const request_info& candidate);
+    [[nodiscard]] bool make_room_for(const request_info& offered, dispatch& out);
     [[nodiscard]] bool fits(const request_info& candidate) const;
-    [[nodiscard]] bool deadline_unmeetable(const request_info& candidate, double wait_ms) const;
+    [[nodiscard]] std::uint32_t slots_open_to(request_class priority) const;
     [[nodiscard]] double expected_ms(const request_info& candidate) const;
     [[nodiscard]] double estimated_wait_ms(const request_info& offered) const;
-    [[nodiscard]] std::uint32_t used_slots() const;
-    [[nodiscard]] std::uint32_t background_slots() const;
-    [[nodiscard]] std::optional<request_class> next_class();
-    [[nodiscard]] account_queue* next_account(class_queue& from);
-    [[nodiscard]] const request_info* head_of(request_class priority);
-    [[nodiscard]] request_info take_head(request_class priority);
-    void enqueue(const request_info& offered);
-    void start(const request_info& begun);
+    [[nodiscard]] std::uint32_t waiting_count() const;
+    [[nodiscard]] std::uint32_t account_waiting(std::string_view account) const;
+    [[nodiscard]] std::optional<request_class> next_class() const;
+    [[nodiscard]] std::optional<request_class> next_background_class() const;
+    void start(const request_info& begun, dispatch& out);
+    void charge_class(request_class priority, double cost_ms);
     void fill_slots(dispatch& out);
-    void give_up_expired(dispatch& out);
     void give_up_all(refusal_reason reason, dispatch& out);
-    void refuse_queued(const request_info& queued, refusal_reason reason, dispatch& out);
-    void note_duration(const running_attempt& ended_attempt, double duration_ms);
-    [[nodiscard]] class_queue& queue_of(request_class priority);
-    [[nodiscard]] const class_queue& queue_of(request_class priority) const;
+    void give_up(const request_info& waiting, refusal_reason reason, dispatch& out);
+    void note_end(const running_attempt& ended_attempt, outcome_kind outcome);
+    [[nodiscard]] class_state& state_of(request_class priority);
+    [[nodiscard]] const class_state& state_of(request_class priority) const;
 
     admission_options options;
     clock_function clock;
     std::function<bool()> may_start;
-    std::array<class_queue, class_count> classes;
+    std::array<class_state, class_count> classes;
     std::unordered_map<attempt_id, running_attempt> running;
     std::unordered_map<attempt_id, request_class> queued;
     std::map<std::uint64_t, std::uint32_t> held;
     std::map<std::string, double, std::less<>> service_duration_ms;
     attempt_history ended;
     std::uint32_t held_slots = 0;
-    double background_virtual_time = 0.0;
+    std::uint32_t used_slots = 0;
+    double background_time = 0.0;
     double error_share = 0.0;
     bool draining = false;
 };
--- a/src/include/redwingwheel/claims.h
+++ b/src/include/redwingwheel/claims.h
@@ -112,12 +112,14 @@
     malformed_key,
     /// The named incarnation is already gone; choose another agent.
     worker_gone,
-    /// The attempt number belongs to another claim.
+    /// The attempt number is 0 or was used before.
     attempt_in_use,
     /// Too many claims are recorded, of the account or in all.
     full,
     /// The command was applied (finish, abandon, mark_unknown, expire).
     recorded,
+    /// Nothing holds the key; a begin would be granted. Only from look_up.
+    unclaimed,
     /// The command names an attempt that does not hold its claim; nothing was changed.
     stale,
     /// The answer is not whole or belongs to another attempt; nothing was changed.
@@ -138,6 +140,9 @@
     bool body_kept = true;
 };
 
+/// State of a recorded claim; part of snapshots.
+enum class claim_state : std::uint8_t { running, not_run, answered, unknown };
+
 struct claim_options {
     /// Kept this long after the end of the claim.
     logged_ms kept_ms = 24LL * 3600 * 1000;
@@ -186,7 +191,6 @@
     [[nodiscard]] std::uint64_t contradictions() const { return this->contradiction_count; }
 
 private:
-    enum class claim_state : std::uint8_t { running, not_run, answered, unknown };
     struct claim_id {
         std::string account;
         std::string key;
@@ -201,7 +205,7 @@
         std::vector<attempt_id> former;
         std::string worker;
         incarnation_id incarnation = 0;
-        std::uint8_t state = 0;
+        claim_state state = claim_state::running;
         logged_ms ended_at = 0;
         bool body_kept = true;
         answer given;
@@ -220,8 +224,9 @@
         MSGPACK_DEFINE(ended_at, id)
         [[nodiscard]] auto operator<=>(const ending&) const = default;
     };
+    static constexpr std::uint32_t snapshot_version = 1;
     struct snapshot {
-        std::uint32_t version = 1;
+        std::uint32_t version = snapshot_version;
         logged_ms latest = 0;
         std::uint64_t contradictions = 0;
         std::vector<claim_record> records;
@@ -240,14 +245,16 @@
     [[nodiscard]] std::optional<claim_verdict> refuse_key(std::string_view key) const;
     [[nodiscard]] claim_result begin_known(claim_record& known, const begin_claim& command);
     [[nodiscard]] claim_result describe(const claim_record& known) const;
+    [[nodiscard]] claim_result describe(const claim_record& known, claim_verdict verdict) const;
     [[nodiscard]] claim_record* find_by_attempt(attempt_id attempt);
+    [[nodiscard]] bool attempt_used(attempt_id attempt) const;
     [[nodiscard]] bool is_gone(std::string_view worker, incarnation_id incarnation) const;
     void assign(claim_record& record, attempt_id attempt, std::string_view worker,
                 incarnation_id incarnation);
     void end(claim_record& record, claim_state state);
     void record_answer(claim_record& record, const answer& given);
     void drop_body(claim_record& record);
-    void drop_old_bodies();
+    [[nodiscard]] bool insert_restored(claim_record record);
     void forget(const claim_id& id);
     void advance(logged_ms now);
 
@@ -267,3 +274,5 @@
 };
 
 } // namespace redwingwheel::request
+
+MSGPACK_ADD_ENUM(redwingwheel::request::claim_state);
--- a/src/include/redwingwheel/router.h
+++ b/src/include/redwingwheel/router.h
@@ -10,9 +10,8 @@
 #include <string_view>
 #include <vector>
 
-#include "redwingwheel/admission.h"
 #include "redwingwheel/clock.h"
-#include "redwingwheel/outcome.h"
+#include "redwingwheel/request_info.h"
 
 /// The entry's choice of an agent for each request.
 namespace redwingwheel::request {
@@ -131,56 +130,59 @@
     [[nodiscard]] double error_share(std::string_view worker) const;
 
 private:
+    using class_counts = std::array<std::uint32_t, class_count>;
     struct agent_state {
         agent_info info;
-        std::array<std::uint32_t, class_count> in_flight{};
+        class_counts in_flight{};
         /// Own in-flight attempts when the load was reported, which the report already counts.
-        std::array<std::uint32_t, class_count> in_flight_at_report{};
+        class_counts in_flight_at_report{};
         double error_share = 0.0;
-        steady_time error_changed_at;
-        steady_time next_probe;
-        milliseconds probe_pause{0};
+        steady_time errors_changed_at;
         bool suspended = false;
         bool probing = false;
+        steady_time next_probe;
+        milliseconds probe_pause{0};
         steady_time paused_until;
         std::uint32_t refusals_in_row = 0;
     };
-    struct data_centre_agents {
-        std::string name;
-        std::vector<agent_state*> members;
-    };
+    using agent_list = std::vector<agent_state*>;
+    using worker_list = std::span<const std::string>;
 
-    [[nodiscard]] agent_state* find_live(const choice& made);
-    [[nodiscard]] skip_reason reason_to_skip(agent_state& agent, const request_info& request,
-                                             std::span<const std::string> excluded, bool lenient);
+    [[nodiscard]] agent_state* find_agent(std::string_view worker);
+    [[nodiscard]] skip_reason reason_to_skip(const agent_state& agent, const request_info& request,
+                                             worker_list excluded) const;
+    [[nodiscard]] skip_reason reason_to_wait(const agent_state& agent);
     [[nodiscard]] bool probe_due(const agent_state& agent, const request_info& request) const;
     [[nodiscard]] double decayed_errors(const agent_state& agent) const;
     [[nodiscard]] double excess_errors(const agent_state& agent) const;
-    [[nodiscard]] double score(const agent_state& agent, const request_info& request) const;
+    [[nodiscard]] double score_ms(const agent_state& agent, const request_info& request) const;
     [[nodiscard]] double wait_ms(const agent_state& agent, const request_info& request) const;
     [[nodiscard]] double run_ms(const agent_state& agent, request_class priority) const;
-    [[nodiscard]] std::vector<agent_state*> sample(const std::vector<agent_state*>& members,
-                                                   const request_info& request,
-                                                   std::span<const std::string> excluded,
-                                                   std::vector<candidate>& record, bool lenient);
-    [[nodiscard]] agent_state* choose_by_load(const request_info& request,
-                                              std::span<const std::string> excluded, bool lenient,
+
+    /// The best of a few agents of `members`; empty when none can take the request.
+    [[nodiscard]] agent_state* best_of(const agent_list& members, const request_info& request,
+                                       worker_list excluded, std::vector<candidate>& record);
+    [[nodiscard]] agent_state* choose_by_load(const request_info& request, worker_list excluded,
                                               std::vector<candidate>& record);
-    [[nodiscard]] agent_state* choose_by_baseline(const request_info& request,
-                                                  std::span<const std::string> excluded,
+    [[nodiscard]] agent_state* choose_any(const request_info& request, worker_list excluded,
+                                          std::vector<candidate>& record);
+    [[nodiscard]] agent_state* choose_by_baseline(const request_info& request, worker_list excluded,
                                                   std::vector<candidate>& record);
-    void note_error(agent_state& agent, const choice& made, bool failed);
+    void note_outcome(agent_state& agent, const choice& made, const answer_observation& seen);
+    void note_probe(agent_state& agent, bool failed);
     void set_errors(agent_state& agent, double share);
     void note_load(agent_state& agent, const load_report& load);
+    void rebuild_lists();
     [[nodiscard]] std::uint64_t random_below(std::uint64_t bound);
 
     router_options options;
     clock_function clock;
     random_function random;
     std::map<std::string, agent_state, std::less<>> agents;
-    std::vector<agent_state*> local;
-    std::vector<agent_state*> remote;
-    /// Moving average of run times over all agents, for an agent that has not reported any.
+    agent_list local;
+    agent_list remote;
+    agent_list all;
+    /// Moving average of the reported run times of all agents, for one that has not reported any.
     std::array<double, class_count> fleet_duration_ms{};
     /// Sum of the error shares of all agents, kept as they change.
     double error_sum = 0.0;
--- /dev/null
+++ b/src/librequest/admission.cpp
@@ -0,0 +1,492 @@
+#include "redwingwheel/admission.h"
+
+#include <algorithm>
+
+namespace redwingwheel::request {
+
+namespace {
+
+/// Weight of the newest value in the moving averages of durations and errors.
+constexpr double duration_weight = 0.2;
+constexpr double error_weight = 0.1;
+/// Least slot time charged for a start, so that undeclared work is not free.
+constexpr double least_charge_ms = 1.0;
+/// Services whose durations are remembered.
+constexpr std::size_t service_bound = 512;
+/// A refusal that rests on a service's history lowers it by this factor. Without it a history of
+/// long runs would refuse every request with a short deadline and never learn better.
+constexpr double history_decay = 0.95;
+
+double in_ms(std::chrono::nanoseconds length)
+{
+    return std::chrono::duration<double, std::milli>(length).count();
+}
+
+} // namespace
+
+admission_queue::admission_queue(admission_options chosen, clock_function clock_source,
+                                 std::function<bool()> permit_check)
+    : options(chosen), clock(clock_source), may_start(std::move(permit_check)),
+      ended(chosen.history, std::move(clock_source))
+{
+}
+
+admission_queue::class_state& admission_queue::state_of(request_class priority)
+{
+    return this->classes[static_cast<std::size_t>(priority)];
+}
+
+const admission_queue::class_state& admission_queue::state_of(request_class priority) const
+{
+    return this->classes[static_cast<std::size_t>(priority)];
+}
+
+offer_result admission_queue::offer(const request_info& offered)
+{
+    offer_result result;
+    if (const std::optional<refusal_reason> reason = this->reason_to_refuse(offered)) {
+        // An attempt that is known keeps its record: it may have run.
+        if (*reason != refusal_reason::duplicate_attempt &&
+            *reason != refusal_reason::wrong_incarnation) {
+            this->ended.add(offered.attempt, offered.claim_incarnation.has_value(),
+                            ended_how::never_ran);
+        }
+        result.reason = *reason;
+        return result;
+    }
+    this->state_of(offered.priority).waiting.push(offered);
+    this->queued.emplace(offered.attempt, offered.priority);
+    this->fill_slots(result.others);
+    if (this->queued.contains(offered.attempt)) {
+        const std::optional<refusal_reason> reason = this->reason_not_to_wait(offered);
+        if (reason.has_value()) {
+            this->state_of(offered.priority).waiting.remove(offered.attempt);
+            this->give_up(offered, *reason, result.others);
+        }
+        else if (!this->make_room_for(offered, result.others)) {
+            this->state_of(offered.priority).waiting.remove(offered.attempt);
+            this->give_up(offered, refusal_reason::full, result.others);
+        }
+    }
+    const auto is_offered = [&offered](const auto& other) {
+        return other.attempt == offered.attempt;
+    };
+    if (std::erase_if(result.others.started, is_offered) > 0) {
+        result.kind = offer_kind::started;
+    }
+    else if (this->queued.contains(offered.attempt)) {
+        result.kind = offer_kind::queued;
+    }
+    else {
+        const auto refused =
+            std::find_if(result.others.refused.begin(), result.others.refused.end(), is_offered);
+        result.reason = refused->reason;
+        result.others.refused.erase(refused);
+    }
+    return result;
+}
+
+std::optional<refusal_reason> admission_queue::reason_to_refuse(const request_info& offered) const
+{
+    // Identity comes first: every later reason states "not run", which is false for an attempt that
+    // is running or has run.
+    if (offered.claim_incarnation.has_value() &&
+        *offered.claim_incarnation != this->options.incarnation) {
+        return refusal_reason::wrong_incarnation;
+    }
+    if (this->running.contains(offered.attempt) || this->queued.contains(offered.attempt)) {
+        return refusal_reason::duplicate_attempt;
+    }
+    if (const std::optional<ended_how> how = this->ended.find(offered.attempt)) {
+        return *how == ended_how::ran ? refusal_reason::duplicate_attempt : refusal_reason::revoked;
+    }
+    if (this->draining) {
+        return refusal_reason::shutting_down;
+    }
+    if (!this->may_start()) {
+        return refusal_reason::no_permit;
+    }
+    if (offered.claim_incarnation.has_value() && this->ended.claimed_full()) {
+        return refusal_reason::history_full;
+    }
+    if (offered.deadline <= this->clock()) {
+        return refusal_reason::deadline_passed;
+    }
+    if (offered.slots > this->slots_open_to(offered.priority)) {
+        return refusal_reason::too_many_slots;
+    }
+    return std::nullopt;
+}
+
+std::optional<refusal_reason> admission_queue::reason_not_to_wait(const request_info& offered)
+{
+    const double account_bound = this->options.account_queue_share * this->options.queue_bound;
+    if (this->account_waiting(offered.account) > account_bound) {
+        return refusal_reason::account_share_full;
+    }
+    const double left_ms = in_ms(offered.deadline - this->clock());
+    if (this->estimated_wait_ms(offered) + this->expected_ms(offered) > left_ms) {
+        return refusal_reason::deadline_unmeetable;
+    }
+    return std::nullopt;
+}
+
+std::optional<refusal_reason> admission_queue::reason_at_start(const request_info& candidate)
+{
+    const steady_time now = this->clock();
+    if (candidate.deadline <= now) {
+        return refusal_reason::deadline_passed;
+    }
+    if (this->expected_ms(candidate) <= in_ms(candidate.deadline - now)) {
+        return std::nullopt;
+    }
+    const auto history = this->service_duration_ms.find(candidate.service);
+    if (history != this->service_duration_ms.end()) {
+        history->second *= history_decay;
+    }
+    return refusal_reason::deadline_unmeetable;
+}
+
+bool admission_queue::make_room_for(const request_info& offered, dispatch& out)
+{
+    if (this->waiting_count() <= this->options.queue_bound) {
+        return true;
+    }
+    for (std::size_t index = class_count; index > 0; --index) {
+        const request_class lower = static_cast<request_class>(index - 1);
+        if (lower <= offered.priority) {
+            return false;
+        }
+        if (const std::optional<request_info> removed =
+                this->state_of(lower).waiting.remove_newest()) {
+            this->give_up(*removed, refusal_reason::full, out);
+            return true;
+        }
+    }
+    return false;
+}
+
+std::uint32_t admission_queue::slots_open_to(request_class priority) const
+{
+    const std::uint32_t open = this->options.slots - this->held_slots;
+    if (priority != request_class::batch) {
+        return open;
+    }
+    return open - std::min({this->options.slots_kept_from_batch, open, this->options.slots - 1});
+}
+
+bool admission_queue::fits(const request_info& candidate) const
+{
+    if (this->running.size() + this->held.size() >= this->options.connections ||
+        this->used_slots + this->held_slots + candidate.slots > this->options.slots) {
+        return false;
+    }
+    return candidate.priority != request_class::batch ||
+           this->state_of(request_class::batch).slots_used + candidate.slots <=
+               this->slots_open_to(request_class::batch);
+}
+
+double admission_queue::expected_ms(const request_info& candidate) const
+{
+    const auto history = this->service_duration_ms.find(candidate.service);
+    return history == this->service_duration_ms.end() ? in_ms(candidate.expected_duration)
+                                                      : history->second;
+}
+
+double admission_queue::estimated_wait_ms(const request_info& offered) const
+{
+    double ends_per_ms = 0.0;
+    double ahead = 0.0;
+    for (std::size_t index = 0; index < class_count; ++index) {
+        const class_state& state = this->classes[index];
+        if (state.duration_ms > 0.0) {
+            ends_per_ms += state.running / state.duration_ms;
+        }
+        if (index < static_cast<std::size_t>(offered.priority)) {
+            ahead += state.waiting.size();
+        }
+    }
+    ahead +=
+        this->state_of(offered.priority).waiting.ahead_of(offered.account, offered.account_weight);
+    // Nothing is known before the first end of an attempt.
+    return ends_per_ms > 0.0 ? ahead / ends_per_ms : 0.0;
+}
+
+std::uint32_t admission_queue::waiting_count() const
+{
+    return static_cast<std::uint32_t>(this->queued.size());
+}
+
+std::uint32_t admission_queue::account_waiting(std::string_view account) const
+{
+    std::uint32_t waiting = 0;
+    for (const class_state& state : this->classes) {
+        waiting += state.waiting.account_size(account);
+    }
+    return waiting;
+}
+
+std::optional<request_class> admission_queue::next_background_class() const
+{
+    const class_state& standard = this->state_of(request_class::standard);
+    const class_state& batch = this->state_of(request_class::batch);
+    if (standard.waiting.size() == 0 && batch.waiting.size() == 0) {
+        return std::nullopt;
+    }
+    if (batch.waiting.size() == 0) {
+        return request_class::standard;
+    }
+    // Batch work that may not take the free slot does not hold up standard work.
+    if (standard.waiting.size() == 0 ||
+        (!this->fits(*batch.waiting.head()) && this->fits(*standard.waiting.head()))) {
+        return standard.waiting.size() == 0 ? request_class::batch : request_class::standard;
+    }
+    return std::max(batch.share_tag, this->background_time) <
+                   std::max(standard.share_tag, this->background_time)
+               ? request_class::batch
+               : request_class::standard;
+}
+
+std::optional<request_class> admission_queue::next_class() const
+{
+    const std::optional<request_class> background = this->next_background_class();
+    if (this->state_of(request_class::interactive).waiting.size() == 0) {
+        return background;
+    }
+    const std::uint32_t background_slots = this->state_of(request_class::standard).slots_used +
+                                           this->state_of(request_class::batch).slots_used;
+    if (background.has_value() && background_slots < this->options.background_floor_slots &&
+        this->fits(*this->state_of(*background).waiting.head())) {
+        return background;
+    }
+    return request_class::interactive;
+}
+
+void admission_queue::fill_slots(dispatch& out)
+{
+    std::optional<request_class> priority = this->next_class();
+    while (priority.has_value()) {
+        class_state& state = this->state_of(*priority);
+        const request_info head = *state.waiting.head();
+        if (const std::optional<refusal_reason> reason = this->reason_at_start(head)) {
+            state.waiting.remove(head.attempt);
+            this->give_up(head, *reason, out);
+        }
+        else if (!this->fits(head)) {
+            return;
+        }
+        else if (!this->may_start()) {
+            this->give_up_all(refusal_reason::no_permit, out);
+            return;
+        }
+        else {
+            this->start(head, out);
+        }
+        priority = this->next_class();
+    }
+}
+
+void admission_queue::start(const request_info& begun, dispatch& out)
+{
+    class_state& state = this->state_of(begun.priority);
+    const double cost_ms = std::max(least_charge_ms, this->expected_ms(begun)) *
+                           std::max<std::uint32_t>(1, begun.slots);
+    state.waiting.pop_head(cost_ms);
+    this->charge_class(begun.priority, cost_ms);
+    this->queued.erase(begun.attempt);
+    this->running.emplace(begun.attempt, running_attempt{begun, this->clock(), cost_ms});
+    ++state.running;
+    state.slots_used += begun.slots;
+    this->used_slots += begun.slots;
+    out.started.push_back(begun);
+}
+
+void admission_queue::charge_class(request_class priority, double cost_ms)
+{
+    if (priority == request_class::interactive) {
+        return;
+    }
+    class_state& state = this->state_of(priority);
+    const std::uint32_t weight = priority == request_class::standard ? this->options.standard_weight
+                                                                     : this->options.batch_weight;
+    const double start_tag = std::max(state.share_tag, this->background_time);
+    this->background_time = start_tag;
+    state.share_tag = start_tag + cost_ms / std::max<std::uint32_t>(1, weight);
+}
+
+dispatch admission_queue::finished(attempt_id attempt, outcome_kind outcome)
+{
+    dispatch out;
+    const auto found = this->running.find(attempt);
+    if (found == this->running.end()) {
+        return out;
+    }
+    const running_attempt over = std::move(found->second);
+    this->running.erase(found);
+    class_state& state = this->state_of(over.info.priority);
+    --state.running;
+    state.slots_used -= over.info.slots;
+    this->used_slots -= over.info.slots;
+    this->note_end(over, outcome);
+    this->ended.add(attempt, over.info.claim_incarnation.has_value(),
+                    outcome == outcome_kind::not_run ? ended_how::never_ran : ended_how::ran);
+    this->fill_slots(out);
+    if (state.running == 0 && state.waiting.size() == 0) {
+        state.waiting.reset_shares();
+    }
+    return out;
+}
+
+void admission_queue::note_end(const running_attempt& ended_attempt, outcome_kind outcome)
+{
+    const double used_ms = in_ms(this->clock() - ended_attempt.started_at);
+    class_state& state = this->state_of(ended_attempt.info.priority);
+    state.waiting.correct_charge(ended_attempt.info.account, ended_attempt.charged_ms,
+                                 used_ms * std::max<std::uint32_t>(1, ended_attempt.info.slots));
+    if (outcome != outcome_kind::not_run) {
+        const double failed = outcome == outcome_kind::done ? 0.0 : 1.0;
+        this->error_share += error_weight * (failed - this->error_share);
+    }
+    // A quick failure says nothing of how long the work takes.
+    if (outcome != outcome_kind::done) {
+        return;
+    }
+    state.duration_ms +=
+        (state.duration_ms > 0.0 ? duration_weight : 1.0) * (used_ms - state.duration_ms);
+    const auto history = this->service_duration_ms.find(ended_attempt.info.service);
+    if (history != this->service_duration_ms.end()) {
+        history->second += duration_weight * (used_ms - history->second);
+    }
+    else if (this->service_duration_ms.size() < service_bound) {
+        this->service_duration_ms.emplace(ended_attempt.info.service, used_ms);
+    }
+}
+
+void admission_queue::give_up(const request_info& waiting, refusal_reason reason, dispatch& out)
+{
+    this->queued.erase(waiting.attempt);
+    this->ended.add(waiting.attempt, waiting.claim_incarnation.has_value(), ended_how::never_ran);
+    out.refused.push_back(refused_attempt{waiting.attempt, reason});
+}
+
+void admission_queue::give_up_all(refusal_reason reason, dispatch& out)
+{
+    for (class_state& state : this->classes) {
+        for (const request_info& waiting :
+             state.waiting.remove_if([](const request_info&) { return true; })) {
+            this->give_up(waiting, reason, out);
+        }
+    }
+}
+
+cancel_result admission_queue::cancel(attempt_id attempt, bool claimed)
+{
+    cancel_result result;
+    if (this->running.contains(attempt)) {
+        result.kind = cancel_kind::running;
+        return result;
+    }
+    const auto waiting = this->queued.find(attempt);
+    if (waiting == this->queued.end()) {
+        const std::optional<ended_how> how = this->ended.find(attempt);
+        if (how == ended_how::ran) {
+            result.kind = cancel_kind::finished;
+            return result;
+        }
+        this->ended.add(attempt, claimed, ended_how::never_ran);
+        return result;
+    }
+    const std::optional<request_info> removed =
+        this->state_of(waiting->second).waiting.remove(attempt);
+    this->queued.erase(waiting);
+    this->ended.add(attempt, removed->claim_incarnation.has_value(), ended_how::never_ran);
+    result.kind = cancel_kind::removed_from_queue;
+    // The attempt may have been the one that the free slots were not enough for.
+    this->fill_slots(result.others);
+    return result;
+}
+
+dispatch admission_queue::drain()
+{
+    dispatch out;
+    this->draining = true;
+    this->give_up_all(refusal_reason::shutting_down, out);
+    return out;
+}
+
+dispatch admission_queue::expire()
+{
+    dispatch out;
+    const steady_time now = this->clock();
+    if (!this->queued.empty() && !this->may_start()) {
+        this->give_up_all(refusal_reason::no_permit, out);
+        return out;
+    }
+    for (class_state& state : this->classes) {
+        for (const request_info& waiting : state.waiting.remove_if(
+                 [now](const request_info& candidate) { return candidate.deadline <= now; })) {
+            this->give_up(waiting, refusal_reason::deadline_passed, out);
+        }
+    }
+    this->fill_slots(out);
+    return out;
+}
+
+bool admission_queue::hold_slots(std::uint64_t task, std::uint32_t count)
+{
+    const std::uint32_t kept =
+        std::min(this->options.slots_kept_from_batch, this->options.slots - 1);
+    const bool free = this->used_slots + this->held_slots + count + kept <= this->options.slots &&
+                      this->running.size() + this->held.size() < this->options.connections;
+    if (this->draining || !free || !this->may_start() || this->held.contains(task)) {
+        return false;
+    }
+    this->held.emplace(task, count);
+    this->held_slots += count;
+    return true;
+}
+
+dispatch admission_queue::release_slots(std::uint64_t task)
+{
+    dispatch out;
+    const auto found = this->held.find(task);
+    if (found != this->held.end()) {
+        this->held_slots -= found->second;
+        this->held.erase(found);
+        this->fill_slots(out);
+    }
+    return out;
+}
+
+load_report admission_queue::load() const
+{
+    load_report report;
+    report.slots = this->options.slots;
+    report.held_slots = this->held_slots;
+    report.error_share = this->error_share;
+    for (std::size_t index = 0; index < class_count; ++index) {
+        report.running[index] = this->classes[index].running;
+        report.queued[index] = this->classes[index].waiting.size();
+        report.duration_ms[index] = this->classes[index].duration_ms;
+    }
+    return report;
+}
+
+bool admission_queue::idle() const
+{
+    return this->running.empty() && this->queued.empty() && this->held.empty();
+}
+
+std::optional<steady_time> admission_queue::next_deadline() const
+{
+    std::optional<steady_time> earliest;
+    for (const class_state& state : this->classes) {
+        const std::optional<steady_time> candidate = state.waiting.earliest_deadline();
+        if (candidate.has_value() && (!earliest.has_value() || *candidate < *earliest)) {
+            earliest = candidate;
+        }
+    }
+    return earliest;
+}
+
+} // namespace redwingwheel::request
