--- /dev/null
+++ b/src/include/redwingwheel/admission.h
@@ -0,0 +1,178 @@
+#pragma once
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "redwingwheel/attempt_history.h"
+#include "redwingwheel/clock.h"
+#include "redwingwheel/fair_queue.h"
+#include "redwingwheel/request_info.h"
+
+/// The agent's queue: decides when an attempt gets a slot, waits or is refused.
+namespace redwingwheel::request {
+
+enum class refusal_reason : std::uint8_t {
+    full,
+    account_share_full,
+    deadline_unmeetable,
+    deadline_passed,
+    shutting_down,
+    no_permit,
+    duplicate_attempt,
+    wrong_incarnation,
+    revoked,
+    too_many_slots,
+    history_full,
+    cancelled
+};
+
+[[nodiscard]] std::string_view to_string(refusal_reason reason);
+
+/// The outcome that a refusal allows the entry to conclude for the attempt. `first_send` is true
+/// when the entry has handed this attempt to exactly one connection, once. A duplicate or a
+/// restarted agent proves not_run only for a first send: an earlier send may have run.
+[[nodiscard]] outcome_kind outcome_of_refusal(refusal_reason reason, bool first_send);
+
+struct refused_attempt {
+    attempt_id attempt = 0;
+    refusal_reason reason = refusal_reason::full;
+};
+
+/// What the agent does next: start these, answer not_run for those. No attempt is in both.
+struct dispatch {
+    std::vector<request_info> started;
+    std::vector<refused_attempt> refused;
+};
+
+enum class offer_kind : std::uint8_t { started, queued, refused };
+
+struct offer_result {
+    offer_kind kind = offer_kind::refused;
+    /// Set when refused.
+    refusal_reason reason = refusal_reason::full;
+    /// Other attempts that the offer made the queue give up, such as expired ones.
+    dispatch others;
+};
+
+/// What a cancel found. After `revoked` the attempt can never start in this incarnation.
+enum class cancel_kind : std::uint8_t { removed_from_queue, running, finished, revoked };
+
+struct cancel_result {
+    cancel_kind kind = cancel_kind::revoked;
+    dispatch others;
+};
+
+struct admission_options {
+    std::uint32_t slots = 8;
+    std::uint32_t connections = 64;
+    /// Attempts that may wait, all classes together.
+    std::uint32_t queue_bound = 128;
+    /// Share of the queue that one account may fill while others may come.
+    double account_queue_share = 0.5;
+    /// Slots that neither batch work nor long-lived tasks may take, so that an interactive attempt
+    /// waits for interactive or standard work at most.
+    std::uint32_t slots_kept_from_batch = 1;
+    /// Slots that waiting standard or batch work gets even under a flood of interactive work.
+    std::uint32_t background_floor_slots = 1;
+    /// Shares of slot time of standard and batch work against each other.
+    std::uint32_t standard_weight = 4;
+    std::uint32_t batch_weight = 1;
+    incarnation_id incarnation = 0;
+    history_options history;
+};
+
+/// The only authority over one backend server's slots and connections. Driven on one thread.
+class admission_queue {
+public:
+    /// `may_start` is asked at the instant of every start: the permit may have ended in the queue.
+    admission_queue(
+        admission_options chosen, clock_function clock_source,
+        std::function<bool()> permit_check = [] { return true; });
+
+    /// Starts, queues or refuses `offered`.
+    [[nodiscard]] offer_result offer(const request_info& offered);
+
+    /// Records the end of a running attempt; frees its slots. Unknown attempts change nothing.
+    [[nodiscard]] dispatch finished(attempt_id attempt, outcome_kind outcome);
+
+    /// Takes a waiting attempt out, or bars one that never arrived. A running one goes on.
+    /// `claimed` tells how long an attempt that never arrived stays barred.
+    [[nodiscard]] cancel_result cancel(attempt_id attempt, bool claimed = true);
+
+    /// Refuses new work from now on; what is queued is refused as shutting_down, what runs goes on.
+    [[nodiscard]] dispatch drain();
+
+    /// Gives up queued attempts whose deadline has passed or whose permit is gone, starts others.
+    [[nodiscard]] dispatch expire();
+
+    /// Gives slots to a long-lived task; false when they are not free.
+    [[nodiscard]] bool hold_slots(std::uint64_t task, std::uint32_t count);
+    [[nodiscard]] dispatch release_slots(std::uint64_t task);
+
+    [[nodiscard]] load_report load() const;
+    [[nodiscard]] bool idle() const;
+    /// The earliest deadline of a queued attempt; empty when none waits.
+    [[nodiscard]] std::optional<steady_time> next_deadline() const;
+    [[nodiscard]] const attempt_history& history() const { return this->ended; }
+
+private:
+    struct running_attempt {
+        request_info info;
+        steady_time started_at;
+        /// Slot time in milliseconds charged to the account at the start.
+        double charged_ms = 0.0;
+    };
+    struct class_state {
+        fair_queue waiting;
+        std::uint32_t running = 0;
+        std::uint32_t slots_used = 0;
+        double duration_ms = 0.0;
+        /// Virtual time up to which standard or batch work has used its share.
+        double share_tag = 0.0;
+    };
+
+    [[nodiscard]] std::optional<refusal_reason> reason_to_refuse(const request_info& offered) const;
+    [[nodiscard]] std::optional<refusal_reason> reason_not_to_wait(const request_info& offered);
+    [[nodiscard]] std::optional<refusal_reason> reason_at_start(const request_info& candidate);
+    [[nodiscard]] bool make_room_for(const request_info& offered, dispatch& out);
+    [[nodiscard]] bool fits(const request_info& candidate) const;
+    [[nodiscard]] std::uint32_t slots_open_to(request_class priority) const;
+    [[nodiscard]] double expected_ms(const request_info& candidate) const;
+    [[nodiscard]] double estimated_wait_ms(const request_info& offered) const;
+    [[nodiscard]] std::uint32_t waiting_count() const;
+    [[nodiscard]] std::uint32_t account_waiting(std::string_view account) const;
+    [[nodiscard]] std::optional<request_class> next_class() const;
+    [[nodiscard]] std::optional<request_class> next_background_class() const;
+    void start(const request_info& begun, dispatch& out);
+    void charge_class(request_class priority, double cost_ms);
+    void fill_slots(dispatch& out);
+    void give_up_all(refusal_reason reason, dispatch& out);
+    void give_up(const request_info& waiting, refusal_reason reason, dispatch& out);
+    void note_end(const running_attempt& ended_attempt, outcome_kind outcome);
+    [[nodiscard]] class_state& state_of(request_class priority);
+    [[nodiscard]] const class_state& state_of(request_class priority) const;
+
+    admission_options options;
+    clock_function clock;
+    std::function<bool()> may_start;
+    std::array<class_state, class_count> classes;
+    std::unordered_map<attempt_id, running_attempt> running;
+    std::unordered_map<attempt_id, request_class> queued;
+    std::map<std::uint64_t, std::uint32_t> held;
+    std::map<std::string, double, std::less<>> service_duration_ms;
+    attempt_history ended;
+    std::uint32_t held_slots = 0;
+    std::uint32_t used_slots = 0;
+    double background_time = 0.0;
+    double error_share = 0.0;
+    bool draining = false;
+};
+
+} // namespace redwingwheel::request
