Placement: first working engine

Cause: the daemon needs decisions behind the interface. The engine keeps a cell tree with free counts per level, names the cells of every guarantee, lends open cells to work that can be stopped, reclaims them for their owner, reserves room for large jobs with backfill, and quarantines stragglers within a budget. Ruled out: one flat list of workers, since a decision would then touch all of them; and a budget of strictly a tenth, which is no worker at all in a data centre of four, so that one worker may always be quarantined there. Costs and comparisons are not measured yet.

--- a/src/include/redwingwheel/placement.h
+++ b/src/include/redwingwheel/placement.h
@@ -37,7 +37,7 @@
 /// the next `decide` when it must not run a second time.
 class engine {
 public:
-    engine(engine_options options, clock_function clock);
+    engine(engine_options options, clock_function clock, rule_switches rules = {});
     ~engine();
     engine(const engine&) = delete;
     engine& operator=(const engine&) = delete;
@@ -78,9 +78,8 @@
     /// conflicting_placement.
     [[nodiscard]] absl::Status restore(const job_spec& job, const gang_placement& placement);
 
-    /// Forgets a job that is queued, or whose tasks have ended after a cancellation. A running
-    /// gang's accelerators are free at once, so the caller stops its tasks first. Errors:
-    /// unknown_job.
+    /// Forgets a job that is queued. A running gang is told to stop by the next `decide` and is
+    /// forgotten when `stopped` is called for it. Errors: unknown_job.
     [[nodiscard]] absl::Status cancel(std::string_view job);
 
     /// A gang has ended by itself; its accelerators are free and its run time enters the history
@@ -121,8 +120,9 @@
     /// One entry per known job, sorted by name.
     [[nodiscard]] std::vector<job_summary> job_summaries() const;
 
+    struct implementation; ///< Of the library itself.
+
 private:
-    struct implementation;
     std::unique_ptr<implementation> impl;
 };
 
--- a/src/include/redwingwheel/placement_types.h
+++ b/src/include/redwingwheel/placement_types.h
@@ -182,7 +182,7 @@
 /// Limits and rules. The defaults are those of the design.
 struct engine_options {
     milliseconds checkpoint_grace{1000};        ///< Reclaim: from request to stop.
-    milliseconds normal_reclaim_wait{10000};    ///< A normal job of an owner reclaims after this.
+    milliseconds normal_reclaim_wait{2000};     ///< A normal job of an owner reclaims after this.
     milliseconds ramp_time{10000};              ///< Return of a data centre.
     std::uint32_t ramp_start_percent = 10;      ///< Share of a returned data centre at first.
     std::uint32_t max_reservations = 4;         ///< For large jobs, at one time.
@@ -194,7 +194,21 @@
     std::uint32_t max_failed_workers = 3;       ///< A job that failed on so many is failed itself.
     std::uint32_t max_starts_per_decide = 64;   ///< Bound of one turn.
     std::uint32_t max_scanned_per_decide = 512; ///< Queued jobs looked at in one turn.
-    bool evacuate_withdrawn = true; ///< Move gangs that can checkpoint out of a withdrawn place.
+    /// Gangs that can checkpoint and are expected to run longer than this leave a withdrawn data
+    /// centre when they fit elsewhere; shorter ones end sooner than they would move.
+    milliseconds evacuate_longer_than{30000};
+};
+
+/// Switches single rules off, so that a test can show that breaking a rule is caught. Tests only.
+struct rule_switches {
+    bool close_reclaimed_cells = true; ///< No second borrower in a cell that is reclaimed.
+    bool lend_only_stoppable = true;   ///< Borrowers can checkpoint or be run again.
+    bool whole_gangs = true;           ///< A gang starts with all members.
+    bool respect_withdrawal = true;    ///< Nothing starts in a withdrawn data centre.
+    bool bound_quarantine = true;      ///< The quarantine budget.
+    bool wait_for_stop = true;         ///< An owner starts after the borrower has stopped.
+    bool never_rerun = true;           ///< Non-idempotent work never runs twice.
+    bool rebuild_lost_cells = true;    ///< Cells of lost workers are assigned elsewhere.
 };
 
 } // namespace redwingwheel::placement
--- /dev/null
+++ b/src/libplacement/engine.cpp
@@ -0,0 +1,499 @@
+#include <algorithm>
+#include <limits>
+
+#include <fmt/format.h>
+
+#include "engine_state.h"
+
+namespace redwingwheel::placement {
+
+namespace {
+
+// A long forecast puts a job behind at most this much of later arrivals.
+constexpr std::chrono::seconds max_length_handicap{900};
+// The same for an account with much queued work, so that a burst does not starve other accounts.
+constexpr double max_backlog_handicap_seconds = 600;
+// A broken job may use workers it failed on again after this, when there are no others.
+constexpr std::uint32_t max_failures_per_job = 6;
+
+double accelerator_seconds(const job_record& job, milliseconds run_time)
+{
+    return static_cast<double>(job.spec.members) * job.spec.accelerators_per_member *
+           std::chrono::duration<double>(run_time).count();
+}
+
+} // namespace
+
+engine::engine(engine_options options, clock_function clock, rule_switches rules)
+    : impl(std::make_unique<implementation>(options, std::move(clock), rules))
+{
+}
+
+engine::~engine() = default;
+
+absl::Status engine::add_worker(const worker_spec& worker)
+{
+    implementation& state = *this->impl;
+    const std::uint32_t group =
+        worker.accelerators_per_group == 0 ? worker.accelerators : worker.accelerators_per_group;
+    if (worker.name.empty() || worker.data_centre.empty() || worker.accelerators == 0 ||
+        worker.accelerators > max_accelerators_per_worker || worker.accelerators % group != 0) {
+        return make_error(
+            placement_errc::invalid_worker,
+            fmt::format("worker \"{}\": needs a name, a data centre, 1 to {} accelerators (has "
+                        "{}) and a group size that divides them (has {})",
+                        worker.name, max_accelerators_per_worker, worker.accelerators, group));
+    }
+    const host_index known = state.tree.find_host(worker.name);
+    if (known == no_index) {
+        state.tree.add_host(worker);
+        state.cells_changed = true;
+        return absl::OkStatus();
+    }
+    const worker_spec& before = state.tree.host(known).spec;
+    if (before.data_centre != worker.data_centre || before.rack != worker.rack ||
+        before.accelerators != worker.accelerators || before.accelerators_per_group != group) {
+        return make_error(
+            placement_errc::invalid_worker,
+            fmt::format("worker \"{}\" was announced with another shape or place", worker.name));
+    }
+    state.tree.set_lost(known, false);
+    state.health.forget_host(known);
+    state.cells_changed = true;
+    return absl::OkStatus();
+}
+
+absl::Status engine::remove_worker(std::string_view worker)
+{
+    implementation& state = *this->impl;
+    const host_index host = state.tree.find_host(worker);
+    if (host == no_index) {
+        return make_error(placement_errc::unknown_worker, fmt::format("worker \"{}\"", worker));
+    }
+    state.tree.set_lost(host, true);
+    state.cells_changed = true;
+    std::set<job_slot> concerned;
+    for (const job_slot slot : state.tree.host(host).holder) {
+        if (slot != no_job) {
+            concerned.insert(slot);
+        }
+    }
+    for (const job_slot slot : concerned) {
+        state.break_gang(slot, fmt::format("worker {} is lost", worker));
+    }
+    return absl::OkStatus();
+}
+
+absl::Status engine::set_data_centre_state(std::string_view data_centre, data_centre_state wanted)
+{
+    implementation& state = *this->impl;
+    const data_centre_index index = state.tree.find_data_centre(data_centre);
+    if (index == no_index) {
+        return make_error(placement_errc::unknown_data_centre,
+                          fmt::format("data centre \"{}\"", data_centre));
+    }
+    if (state.tree.data_centre(index).state == wanted) {
+        return absl::OkStatus();
+    }
+    if (wanted == data_centre_state::in_service) {
+        const steady_time now = state.clock();
+        const std::uint32_t percent = std::min(state.options.ramp_start_percent, 99U);
+        state.tree.set_ramp(index, now - state.options.ramp_time * percent / (100 - percent),
+                            now + state.options.ramp_time);
+    }
+    state.tree.set_state(index, wanted);
+    state.cells_changed = true;
+    return absl::OkStatus();
+}
+
+absl::Status engine::implementation::validate(const job_spec& job) const
+{
+    if (job.id.empty() || job.account.empty() || job.service.empty()) {
+        return make_error(placement_errc::invalid_job,
+                          fmt::format("job \"{}\" needs an id, an account and a service", job.id));
+    }
+    if (job.members == 0 || job.members > max_gang_members) {
+        return make_error(placement_errc::invalid_job,
+                          fmt::format("job \"{}\": members is {}, allowed are 1 to {}", job.id,
+                                      job.members, max_gang_members));
+    }
+    if (job.accelerators_per_member == 0 ||
+        job.accelerators_per_member > max_accelerators_per_worker) {
+        return make_error(placement_errc::invalid_job,
+                          fmt::format("job \"{}\": accelerators_per_member is {}, allowed are 1 "
+                                      "to {}",
+                                      job.id, job.accelerators_per_member,
+                                      max_accelerators_per_worker));
+    }
+    if (job.declared_run_time.count() < 0) {
+        return make_error(placement_errc::invalid_job,
+                          fmt::format("job \"{}\": declared run time is {} ms, allowed are 0 or "
+                                      "more",
+                                      job.id, job.declared_run_time.count()));
+    }
+    if (this->by_id.contains(job.id)) {
+        return make_error(placement_errc::duplicate_job, fmt::format("job \"{}\"", job.id));
+    }
+    return absl::OkStatus();
+}
+
+/// Empty when some state of the announced inventory can hold the job under today's guarantees.
+std::string engine::implementation::why_never_fits(const job_spec& job) const
+{
+    const own_cells& own = this->book.cells_of(job.account);
+    const bool borrows = this->is_stoppable(job);
+    const std::uint32_t size = job.accelerators_per_member;
+    std::map<std::pair<std::uint32_t, std::uint32_t>, std::uint32_t> fits;
+    std::uint32_t most = 0;
+    for (host_index index = 0; index < this->tree.host_count(); ++index) {
+        const host_state& host = this->tree.host(index);
+        const auto mine = own.find(index);
+        const accelerator_mask kept =
+            borrows ? 0 : host.owned & ~(mine == own.end() ? 0 : mine->second);
+        const accelerator_mask usable = host.all & ~kept;
+        std::pair<std::uint32_t, std::uint32_t> area(host.data_centre, 0);
+        std::uint32_t here = count_of(usable) / size;
+        if (job.adjacency == cell_level::rack) {
+            area.second = host.rack;
+        }
+        if (job.adjacency <= cell_level::host) {
+            area.second = index;
+        }
+        if (job.adjacency <= cell_level::group) {
+            here = topology::largest_group_part(host.spec, usable) / size;
+        }
+        std::uint32_t& sum = fits[area];
+        sum += here;
+        most = std::max(most, sum);
+        if (most >= job.members &&
+            (job.adjacency != cell_level::accelerator || job.members * size == 1)) {
+            return "";
+        }
+    }
+    return fmt::format("needs {} members of {} accelerators in one {}; the largest that the "
+                       "guarantees of others leave holds {} members",
+                       job.members, size, name_of(job.adjacency), most);
+}
+
+absl::Status engine::submit(const job_spec& job)
+{
+    implementation& state = *this->impl;
+    const absl::Status valid = state.validate(job);
+    if (!valid.ok()) {
+        return valid;
+    }
+    state.settle();
+    if (state.tree.host_count() > 0) {
+        const std::string reason = state.why_never_fits(job);
+        if (!reason.empty()) {
+            return make_error(placement_errc::never_fits,
+                              fmt::format("job \"{}\" {}", job.id, reason));
+        }
+    }
+    const job_slot slot = state.insert(job);
+    job_record& added = state.jobs[slot];
+    const milliseconds predicted = state.history.predict(job.service, job.declared_run_time);
+    const double capacity =
+        std::max<double>(1, static_cast<double>(state.tree.accelerator_count()));
+    const double behind =
+        std::min(max_backlog_handicap_seconds, state.backlog[job.account] / capacity);
+    added.submitted = state.clock();
+    added.key = {job.priority,
+                 added.submitted + std::min<milliseconds>(predicted, max_length_handicap) +
+                     milliseconds(static_cast<milliseconds::rep>(behind * 1000)),
+                 ++state.last_sequence, slot};
+    state.enqueue(slot);
+    return absl::OkStatus();
+}
+
+absl::Status engine::restore(const job_spec& job, const gang_placement& placement)
+{
+    implementation& state = *this->impl;
+    const absl::Status valid = state.validate(job);
+    if (!valid.ok()) {
+        return valid;
+    }
+    std::map<host_index, accelerator_mask> taken;
+    gang_parts parts;
+    for (const member_placement& member : placement.members) {
+        const host_index host = state.tree.find_host(member.worker);
+        if (host == no_index) {
+            return make_error(placement_errc::unknown_worker,
+                              fmt::format("job \"{}\": worker \"{}\"", job.id, member.worker));
+        }
+        const accelerator_mask busy = state.tree.host(host).held | taken[host];
+        if ((member.accelerators & busy) != 0 || member.accelerators == 0 ||
+            (member.accelerators & ~state.tree.host(host).all) != 0) {
+            return make_error(placement_errc::conflicting_placement,
+                              fmt::format("job \"{}\": accelerators {:#x} of worker \"{}\" are "
+                                          "held or do not exist",
+                                          job.id, member.accelerators, member.worker));
+        }
+        taken[host] |= member.accelerators;
+        parts.push_back({host, member.accelerators});
+    }
+    const job_slot slot = state.insert(job);
+    job_record& added = state.jobs[slot];
+    added.submitted = state.clock();
+    added.started = added.submitted;
+    added.forecast = state.remaining_run_time(added);
+    added.key = {job.priority, added.submitted, ++state.last_sequence, slot};
+    added.state = job_state::running;
+    added.parts = std::move(parts);
+    added.borrowed = placement.borrowed;
+    added.uses_guarantee = placement.uses_guarantee;
+    added.record = {job.id, "started", {}, "restored from the log", {}};
+    bool lost = false;
+    for (const host_part& part : added.parts) {
+        if ((state.tree.host(part.host).claimed & part.accelerators) != 0) {
+            for (const job_slot claimant : std::set<job_slot>(state.claimants)) {
+                state.drop_claim(claimant);
+            }
+        }
+        state.tree.hold(part, slot);
+        lost = lost || state.tree.host(part.host).lost;
+    }
+    state.cells_changed = true;
+    if (lost) {
+        state.break_gang(slot, "a worker of the gang is lost");
+    }
+    return absl::OkStatus();
+}
+
+absl::Status engine::cancel(std::string_view job)
+{
+    implementation& state = *this->impl;
+    const job_slot slot = state.find(job);
+    if (slot == no_job) {
+        return make_error(placement_errc::unknown_job, fmt::format("job \"{}\"", job));
+    }
+    if (state.jobs[slot].parts.empty()) {
+        state.erase(slot);
+        return absl::OkStatus();
+    }
+    state.jobs[slot].cancelled = true;
+    state.break_gang(slot, "cancelled");
+    return absl::OkStatus();
+}
+
+absl::Status engine::finish(std::string_view job)
+{
+    implementation& state = *this->impl;
+    const job_slot slot = state.find(job);
+    if (slot == no_job || state.jobs[slot].parts.empty()) {
+        return make_error(placement_errc::unknown_job, fmt::format("no gang \"{}\" runs", job));
+    }
+    const job_record& ended = state.jobs[slot];
+    const milliseconds ran =
+        ended.done + std::chrono::duration_cast<milliseconds>(state.clock() - ended.started);
+    state.history.record(ended.spec.service, ended.spec.declared_run_time, ran);
+    for (const host_part& part : ended.parts) {
+        state.health.record_success(part.host, ended.spec.service);
+    }
+    state.erase(slot);
+    return absl::OkStatus();
+}
+
+absl::Status engine::stopped(std::string_view job, bool checkpointed)
+{
+    implementation& state = *this->impl;
+    const job_slot slot = state.find(job);
+    if (slot == no_job || state.jobs[slot].parts.empty()) {
+        return make_error(placement_errc::unknown_job, fmt::format("no gang \"{}\" runs", job));
+    }
+    state.after_stop(slot, checkpointed);
+    return absl::OkStatus();
+}
+
+absl::Status engine::report_failure(std::string_view job, std::string_view worker,
+                                    std::string_view service)
+{
+    implementation& state = *this->impl;
+    const job_slot slot = state.find(job);
+    const host_index host = state.tree.find_host(worker);
+    if (slot == no_job) {
+        return make_error(placement_errc::unknown_job, fmt::format("job \"{}\"", job));
+    }
+    if (host == no_index) {
+        return make_error(placement_errc::unknown_worker, fmt::format("worker \"{}\"", worker));
+    }
+    const steady_time now = state.clock();
+    job_record& failed = state.jobs[slot];
+    const auto known = std::lower_bound(failed.failed_on.begin(), failed.failed_on.end(), host);
+    if (known == failed.failed_on.end() || *known != host) {
+        failed.failed_on.insert(known, host);
+    }
+    ++failed.failures;
+    failed.last_failure = now;
+    state.health.record_failure(host, service, job, now);
+    if (failed.failed_on.size() >= state.options.max_failed_workers ||
+        failed.failures >= max_failures_per_job) {
+        failed.refusal = fmt::format("failed {} times on {} different workers", failed.failures,
+                                     failed.failed_on.size());
+        // A job that fails everywhere says nothing about the workers.
+        for (const host_index cleared : state.health.forget_job(job)) {
+            state.judge_worker(cleared, now);
+        }
+    }
+    state.judge_worker(host, now);
+    state.break_gang(slot, fmt::format("a task failed on worker {}", worker));
+    return absl::OkStatus();
+}
+
+std::vector<decision> engine::decide()
+{
+    return this->impl->decide();
+}
+
+bool engine::has_more() const
+{
+    return this->impl->resume_after.has_value();
+}
+
+job_slot engine::implementation::find(std::string_view job) const
+{
+    const auto found = this->by_id.find(job);
+    return found == this->by_id.end() ? no_job : found->second;
+}
+
+job_slot engine::implementation::insert(const job_spec& job)
+{
+    job_slot slot = static_cast<job_slot>(this->jobs.size());
+    if (this->free_slots.empty()) {
+        this->jobs.emplace_back();
+    }
+    else {
+        slot = this->free_slots.back();
+        this->free_slots.pop_back();
+    }
+    this->jobs[slot] = job_record{};
+    this->jobs[slot].spec = job;
+    this->jobs[slot].record.job = job.id;
+    this->by_id.emplace(job.id, slot);
+    return slot;
+}
+
+void engine::implementation::erase(job_slot slot)
+{
+    this->drop_claim(slot);
+    this->dequeue(slot);
+    this->release_parts(slot);
+    this->to_stop.erase(slot);
+    this->to_refuse.erase(slot);
+    this->by_id.erase(this->jobs[slot].spec.id);
+    this->jobs[slot] = job_record{};
+    this->free_slots.push_back(slot);
+}
+
+void engine::implementation::enqueue(job_slot slot)
+{
+    job_record& job = this->jobs[slot];
+    job.state = job_state::queued;
+    if (this->queue.insert(job.key).second) {
+        job.queued_work = accelerator_seconds(job, this->remaining_run_time(job));
+        this->backlog[job.spec.account] += job.queued_work;
+    }
+}
+
+void engine::implementation::dequeue(job_slot slot)
+{
+    const job_record& job = this->jobs[slot];
+    if (this->queue.erase(job.key) > 0) {
+        double& queued = this->backlog[job.spec.account];
+        queued = std::max(0.0, queued - job.queued_work);
+    }
+}
+
+void engine::implementation::release_parts(job_slot slot)
+{
+    job_record& job = this->jobs[slot];
+    if (job.parts.empty()) {
+        return;
+    }
+    for (const host_part& part : job.parts) {
+        this->tree.release(part);
+    }
+    job.parts.clear();
+    job.borrowed = false;
+    job.uses_guarantee = false;
+    job.backfill_of = no_job;
+    // Work that must not be stopped may have kept a cell from its owner.
+    if (!this->is_stoppable(job.spec) && !this->book.guarantees().empty()) {
+        this->cells_changed = true;
+    }
+}
+
+void engine::implementation::break_gang(job_slot slot, const std::string& reason)
+{
+    job_record& job = this->jobs[slot];
+    if (job.parts.empty()) {
+        return;
+    }
+    job.broken = true;
+    if (job.claim == claim_kind::move) {
+        this->drop_claim(slot);
+    }
+    if (job.state == job_state::running) {
+        job.stop_reason = reason;
+        this->to_stop.insert(slot);
+    }
+}
+
+void engine::implementation::after_stop(job_slot slot, bool checkpointed)
+{
+    job_record& job = this->jobs[slot];
+    const bool planned = job.state == job_state::stopping && !job.broken;
+    const bool resumes = planned && job.spec.can_checkpoint && checkpointed;
+    if (resumes) {
+        job.done += std::chrono::duration_cast<milliseconds>(this->clock() - job.started);
+    }
+    this->release_parts(slot);
+    this->to_stop.erase(slot);
+    job.broken = false;
+    if (job.cancelled) {
+        this->erase(slot);
+        return;
+    }
+    if (job.refusal.empty() && !resumes && !job.spec.idempotent && this->rules.never_rerun) {
+        job.refusal = fmt::format("stopped without a checkpoint ({}) and must not run twice",
+                                  job.stop_reason);
+    }
+    if (!job.refusal.empty()) {
+        this->drop_claim(slot);
+        job.state = job_state::queued;
+        this->to_refuse.insert(slot);
+        return;
+    }
+    if (job.claim != claim_kind::none) {
+        job.state = job_state::reserved;
+        return;
+    }
+    this->enqueue(slot);
+}
+
+bool engine::implementation::is_stoppable(const job_spec& job) const
+{
+    return job.can_checkpoint || job.idempotent;
+}
+
+milliseconds engine::implementation::remaining_run_time(const job_record& job) const
+{
+    const milliseconds whole = this->history.predict(job.spec.service, job.spec.declared_run_time);
+    return std::max(milliseconds(1), whole - job.done);
+}
+
+steady_time engine::implementation::expected_end(job_slot slot, steady_time now) const
+{
+    const job_record& job = this->jobs[slot];
+    if (job.state == job_state::stopping) {
+        return now + this->options.checkpoint_grace;
+    }
+    const steady_time forecast = job.started + job.forecast;
+    if (forecast > now) {
+        return forecast;
+    }
+    // An overdue job is expected to go on for a share of what it has run already.
+    return now + std::max<steady_time::duration>(std::chrono::seconds(1), (now - job.started) / 4);
+}
+
+} // namespace redwingwheel::placement
--- /dev/null
+++ b/src/libplacement/reservation.cpp
@@ -0,0 +1,130 @@
+#include "reservation.h"
+
+#include <algorithm>
+
+namespace redwingwheel::placement {
+
+namespace {
+
+// A plan looks at so many racks in all, those with the most free room first.
+constexpr std::uint32_t max_planned_racks = 128;
+
+} // namespace
+
+reservation_planner::reservation_planner(const engine::implementation& engine_state,
+                                         const job_record& planned)
+    : state(engine_state), job(planned), now(engine_state.clock())
+{
+}
+
+accelerator_mask reservation_planner::usable(host_index index) const
+{
+    const host_state& host = this->state.tree.host(index);
+    if (!this->state.tree.is_available(index) ||
+        std::binary_search(this->job.failed_on.begin(), this->job.failed_on.end(), index)) {
+        return 0;
+    }
+    accelerator_mask kept = host.closed;
+    if (!this->state.is_stoppable(this->job.spec)) {
+        const own_cells& own = this->state.book.cells_of(this->job.spec.account);
+        const auto mine = own.find(index);
+        const bool is_owner = this->job.spec.priority != job_priority::low;
+        kept |= host.owned & ~(mine == own.end() || !is_owner ? 0 : mine->second);
+    }
+    return host.all & ~host.claimed & ~kept;
+}
+
+/// Member slots of a host, earliest first; for a group, only the one group that is free first.
+void reservation_planner::add_slots(host_index index, std::vector<timed_slot>& slots) const
+{
+    const host_state& host = this->state.tree.host(index);
+    const accelerator_mask mask = this->usable(index);
+    const std::uint32_t size = this->job.spec.accelerators_per_member;
+    const bool in_group = this->job.spec.adjacency <= cell_level::group;
+    const std::uint32_t groups = in_group ? topology::group_count(host.spec) : 1;
+    std::vector<timed_slot> best;
+    for (std::uint32_t group = 0; group < groups; ++group) {
+        const accelerator_mask part =
+            in_group ? mask & topology::group_mask(host.spec, group) : mask;
+        std::vector<std::pair<steady_time, std::uint32_t>> free_times;
+        for_each_accelerator(part, [&](std::uint32_t n) {
+            const job_slot holder = host.holder[n];
+            free_times.emplace_back(
+                holder == no_job ? this->now : this->state.expected_end(holder, this->now), n);
+        });
+        std::sort(free_times.begin(), free_times.end());
+        std::vector<timed_slot> found;
+        for (std::size_t end = size;
+             end <= free_times.size() && found.size() < this->job.spec.members; end += size) {
+            timed_slot slot{free_times[end - 1].first, {index, 0}};
+            for (std::size_t at = end - size; at < end; ++at) {
+                slot.part.accelerators |= accelerator_mask{1} << free_times[at].second;
+            }
+            found.push_back(slot);
+        }
+        if (best.empty() || found.size() > best.size() ||
+            (found.size() == best.size() && found.back().free_at < best.back().free_at)) {
+            best = std::move(found);
+        }
+    }
+    slots.insert(slots.end(), best.begin(), best.end());
+}
+
+void reservation_planner::consider(std::span<const host_index> hosts,
+                                   std::optional<reservation_plan>& best) const
+{
+    std::vector<timed_slot> slots;
+    for (const host_index host : hosts) {
+        this->add_slots(host, slots);
+    }
+    const std::uint32_t members = this->job.spec.members;
+    if (slots.size() < members) {
+        return;
+    }
+    std::stable_sort(slots.begin(), slots.end(),
+                     [](const timed_slot& left, const timed_slot& right) {
+                         return left.free_at < right.free_at;
+                     });
+    const steady_time ready = slots[members - 1].free_at;
+    if (best.has_value() && best->ready <= ready) {
+        return;
+    }
+    best = reservation_plan{ready, {}};
+    for (std::uint32_t member = 0; member < members; ++member) {
+        best->parts.push_back(slots[member].part);
+    }
+}
+
+std::optional<reservation_plan> reservation_planner::plan() const
+{
+    std::optional<reservation_plan> best;
+    const std::uint32_t share =
+        std::max(4U, max_planned_racks / std::max(1U, this->state.tree.data_centre_count()));
+    for (data_centre_index index = 0; index < this->state.tree.data_centre_count(); ++index) {
+        const data_centre_info& place = this->state.tree.data_centre(index);
+        if (place.state != data_centre_state::in_service) {
+            continue;
+        }
+        const free_index& free = place.views[static_cast<std::size_t>(capacity_view::lendable)];
+        if (this->job.spec.adjacency == cell_level::data_centre) {
+            this->consider(place.hosts, best);
+            continue;
+        }
+        // Small data centres are looked at whole; in large ones the racks with most room.
+        std::uint32_t looked_at = 0;
+        for (auto next = free.racks.rbegin(); next != free.racks.rend() && looked_at < share;
+             ++next, ++looked_at) {
+            const std::vector<host_index>& hosts = this->state.tree.rack(next->index).hosts;
+            if (this->job.spec.adjacency == cell_level::rack) {
+                this->consider(hosts, best);
+                continue;
+            }
+            for (const host_index host : hosts) {
+                this->consider(std::span(&host, 1), best);
+            }
+        }
+    }
+    return best;
+}
+
+} // namespace redwingwheel::placement
