--- /dev/null
+++ b/src/include/redwingwheel/control_state.h
@@ -0,0 +1,251 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "redwingwheel/claims.h"
+#include "redwingwheel/configuration.h"
+#include "redwingwheel/gang_messages.h"
+#include "redwingwheel/messages.h"
+#include "redwingwheel/placement_types.h"
+
+/// The state that the control replicas hold in common: a deterministic machine that the replicated
+/// log drives. It reads no clock and draws no random number; commands carry both.
+namespace redwingwheel::control {
+
+enum class control_errc { malformed_command = 1, malformed_snapshot };
+
+[[nodiscard]] constexpr std::string_view error_layer(control_errc)
+{
+    return "control";
+}
+[[nodiscard]] std::string_view error_name(control_errc code);
+[[nodiscard]] constexpr absl::StatusCode error_category(control_errc)
+{
+    return absl::StatusCode::kDataLoss;
+}
+
+/// A job as its submitter describes it.
+struct job_description {
+    std::string id;
+    std::string account;
+    std::string service;
+    std::uint32_t members = 1;
+    std::uint32_t accelerators_per_member = 1;
+    std::uint32_t slots_per_member = 1;
+    placement::cell_level adjacency = placement::cell_level::data_centre;
+    placement::job_priority priority = placement::job_priority::normal;
+    bool idempotent = false;
+    bool can_checkpoint = false;
+    std::uint64_t declared_run_ms = 0;
+    /// JSON that the backend servers receive with each task.
+    std::string parameters;
+
+    friend bool operator==(const job_description&, const job_description&) = default;
+    MSGPACK_DEFINE(id, account, service, members, accelerators_per_member, slots_per_member,
+                   adjacency, priority, idempotent, can_checkpoint, declared_run_ms, parameters)
+};
+
+enum class job_step : std::uint8_t { queued, placed, running, done, failed, cancelled, unknown };
+[[nodiscard]] std::string_view to_text(job_step step);
+[[nodiscard]] bool is_final(job_step step);
+
+struct job_record {
+    job_description job;
+    job_step step = job_step::queued;
+    /// Number of the latest placement; rises with every attempt.
+    std::uint64_t epoch = 0;
+    /// Releases of the gang: times that task code may have begun.
+    std::uint32_t starts = 0;
+    bool cancel_requested = false;
+    std::string reason;
+    /// One entry per member, in order, while the job is placed or runs.
+    std::vector<membership::gang_member_record> members;
+    bool borrowed = false;
+    bool uses_guarantee = false;
+    std::int64_t submitted_ms = 0;
+    std::int64_t started_ms = 0;
+    std::int64_t ended_ms = 0;
+    MSGPACK_DEFINE(job, step, epoch, starts, cancel_requested, reason, members, borrowed,
+                   uses_guarantee, submitted_ms, started_ms, ended_ms)
+};
+
+struct data_centre_record {
+    bool in_service = true;
+    /// Log index of the change.
+    std::uint64_t change_index = 0;
+    std::string operator_name;
+    std::int64_t changed_ms = 0;
+    MSGPACK_DEFINE(in_service, change_index, operator_name, changed_ms)
+};
+
+struct usage_record {
+    std::uint64_t accelerator_ms = 0;
+    std::uint64_t requests = 0;
+    std::uint64_t request_ms = 0;
+    MSGPACK_DEFINE(accelerator_ms, requests, request_ms)
+};
+
+/// Commands of the log.
+struct apply_note {
+    config::release_note note;
+    config::note_origin origin;
+    MSGPACK_DEFINE(note, origin)
+};
+struct set_data_centre {
+    std::string data_centre;
+    bool in_service = true;
+    std::string operator_name;
+    std::int64_t now_ms = 0;
+    MSGPACK_DEFINE(data_centre, in_service, operator_name, now_ms)
+};
+struct announce_worker {
+    messages::worker_announcement worker;
+    MSGPACK_DEFINE(worker)
+};
+struct submit_job {
+    job_description job;
+    std::int64_t now_ms = 0;
+    MSGPACK_DEFINE(job, now_ms)
+};
+struct cancel_job {
+    std::string id;
+    std::string account;
+    std::int64_t now_ms = 0;
+    MSGPACK_DEFINE(id, account, now_ms)
+};
+/// Ends a job that is not placed.
+struct end_job {
+    std::string id;
+    job_step step = job_step::failed;
+    std::string reason;
+    std::int64_t now_ms = 0;
+    MSGPACK_DEFINE(id, step, reason, now_ms)
+};
+struct place_job {
+    std::string id;
+    std::uint64_t epoch = 0;
+    std::vector<membership::gang_member_record> members;
+    bool borrowed = false;
+    bool uses_guarantee = false;
+    MSGPACK_DEFINE(id, epoch, members, borrowed, uses_guarantee)
+};
+struct gang_step_command {
+    membership::gang_proposal step;
+    std::int64_t now_ms = 0;
+};
+struct claim_step {
+    request::claim_command command;
+};
+struct record_usage {
+    std::string source;
+    std::uint64_t incarnation = 0;
+    std::uint64_t batch = 0;
+    std::vector<messages::usage_delta> usage;
+    MSGPACK_DEFINE(source, incarnation, batch, usage)
+};
+
+using command = std::variant<apply_note, set_data_centre, announce_worker, submit_job, cancel_job,
+                             end_job, place_job, gang_step_command, claim_step, record_usage>;
+
+[[nodiscard]] std::string pack_command(const command& of);
+/// Errors: control_errc::malformed_command.
+[[nodiscard]] absl::StatusOr<command> unpack_command(std::string_view bytes);
+
+/// What applying a command answered its proposer.
+struct command_result {
+    /// False when the command was refused; `reason` says why.
+    bool accepted = true;
+    std::string reason;
+    std::optional<config::apply_result> note;
+    std::optional<request::claim_result> claim;
+};
+
+/// Answers whether a proposed configuration can be met; must be deterministic.
+using feasibility_function = std::function<std::vector<config::problem>(
+    const config::configuration& proposed, const std::vector<messages::worker_announcement>&)>;
+
+class control_state {
+public:
+    explicit control_state(feasibility_function feasible);
+
+    /// Applies one command. `index` is its place in the log.
+    command_result apply(const command& of, std::uint64_t index);
+
+    [[nodiscard]] const config::configuration& configuration() const { return *this->config; }
+    [[nodiscard]] const std::map<std::string, data_centre_record>& data_centres() const
+    {
+        return this->data_centre_records;
+    }
+    /// State of a data centre; a configured one without a record is in service since index 0.
+    [[nodiscard]] data_centre_record data_centre(std::string_view name) const;
+    [[nodiscard]] const std::map<std::string, messages::worker_announcement>& workers() const
+    {
+        return this->worker_records;
+    }
+    [[nodiscard]] const std::map<std::string, job_record, std::less<>>& jobs() const
+    {
+        return this->job_records;
+    }
+    [[nodiscard]] const job_record* find_job(std::string_view id) const;
+    [[nodiscard]] const membership::gang_log& gangs() const { return this->gang_records; }
+    [[nodiscard]] const request::claim_table& claims() const { return this->claim_records; }
+    [[nodiscard]] const std::map<std::string, usage_record>& usage() const
+    {
+        return this->usage_records;
+    }
+    [[nodiscard]] std::uint64_t recorded_usage_batch(std::string_view source,
+                                                     std::uint64_t incarnation) const;
+
+    [[nodiscard]] std::string pack_snapshot() const;
+    /// Replaces the whole state. Errors: control_errc::malformed_snapshot, and the state is kept.
+    [[nodiscard]] absl::Status restore_snapshot(std::string_view bytes);
+
+private:
+    struct usage_source {
+        std::uint64_t incarnation = 0;
+        std::uint64_t batch = 0;
+        MSGPACK_DEFINE(incarnation, batch)
+    };
+    struct snapshot;
+
+    [[nodiscard]] command_result apply_one(const apply_note& of, std::uint64_t index);
+    [[nodiscard]] command_result apply_one(const set_data_centre& of, std::uint64_t index);
+    [[nodiscard]] command_result apply_one(const announce_worker& of, std::uint64_t index);
+    [[nodiscard]] command_result apply_one(const submit_job& of, std::uint64_t index);
+    [[nodiscard]] command_result apply_one(const cancel_job& of, std::uint64_t index);
+    [[nodiscard]] command_result apply_one(const end_job& of, std::uint64_t index);
+    [[nodiscard]] command_result apply_one(const place_job& of, std::uint64_t index);
+    [[nodiscard]] command_result apply_one(const gang_step_command& of, std::uint64_t index);
+    [[nodiscard]] command_result apply_one(const claim_step& of, std::uint64_t index);
+    [[nodiscard]] command_result apply_one(const record_usage& of, std::uint64_t index);
+
+    void end_gang(const membership::gang_ended& step, std::int64_t now_ms);
+    void finish_job(job_record& job, job_step step, std::string_view reason, std::int64_t now_ms);
+    void forget_old_jobs();
+    [[nodiscard]] config::configuration_options configuration_options() const;
+
+    feasibility_function feasible;
+    std::optional<config::configuration> config;
+    std::map<std::string, data_centre_record> data_centre_records;
+    std::map<std::string, messages::worker_announcement> worker_records;
+    std::map<std::string, job_record, std::less<>> job_records;
+    /// Ended jobs, oldest first; bounded.
+    std::vector<std::string> ended_jobs;
+    membership::gang_log gang_records;
+    request::claim_table claim_records;
+    std::map<std::string, usage_record> usage_records;
+    std::map<std::string, usage_source, std::less<>> usage_sources;
+};
+
+} // namespace redwingwheel::control
+
+MSGPACK_ADD_ENUM(redwingwheel::control::job_step)
+MSGPACK_ADD_ENUM(redwingwheel::placement::cell_level)
+MSGPACK_ADD_ENUM(redwingwheel::placement::job_priority)
--- /dev/null
+++ b/src/include/redwingwheel/leader_client.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "redwingwheel/control_loop.h"
+#include "redwingwheel/messages.h"
+#include "redwingwheel/rpc.h"
+
+namespace redwingwheel::control {
+
+enum class leader_errc {
+    /// No replica that leads was reached before the deadline; nothing was carried out.
+    no_leader = 1,
+    /// The call reached a replica and its answer was lost; it may have been carried out.
+    unanswered,
+    /// The leader refused the call as malformed or out of order.
+    refused,
+};
+
+[[nodiscard]] constexpr std::string_view error_layer(leader_errc)
+{
+    return "leader";
+}
+[[nodiscard]] std::string_view error_name(leader_errc code);
+[[nodiscard]] absl::StatusCode error_category(leader_errc code);
+
+using leader_done = std::function<void(absl::StatusOr<std::string>)>;
+
+/// Calls the control replica that leads, wherever it is. Moves on from a replica that is silent or
+/// that does not lead. Lives on the control thread.
+class leader_client {
+public:
+    /// `replicas` are addresses from the settings; never empty.
+    leader_client(kernel::control_loop& control_loop, kernel::traffic_loop& traffic,
+                  std::span<const std::string> replicas, std::string_view secret);
+    ~leader_client();
+    leader_client(const leader_client&) = delete;
+    leader_client& operator=(const leader_client&) = delete;
+
+    /// One try at the replica that is believed to lead; a failure moves the belief on. `done` runs
+    /// on the control thread. Errors: leader_errc.
+    void call_once(messages::kind kind, std::string body, steady_time deadline, leader_done done);
+
+    /// Tries until `deadline`. Only for calls that are safe to repeat: every command of the log is,
+    /// by the identity it carries. Errors: leader_errc.
+    void call(messages::kind kind, std::string body, steady_time deadline, leader_done done);
+
+private:
+    struct repeated_call;
+
+    void on_reply(std::size_t target, absl::StatusOr<std::string> body, const leader_done& done);
+    void repeat(const std::shared_ptr<repeated_call>& call);
+    void move_on(std::size_t from);
+    void believe(std::string_view address, std::size_t from);
+
+    kernel::control_loop& loop;
+    std::vector<std::unique_ptr<wire::rpc_client>> replicas;
+    std::size_t believed = 0;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace redwingwheel::control
--- /dev/null
+++ b/src/libagent/request_runner.cpp
@@ -0,0 +1,248 @@
+#include "request_runner.h"
+
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+namespace redwingwheel::agent {
+
+namespace {
+
+constexpr int first_server_error = 500;
+
+request::request_info info_of(const messages::execute& of, steady_time deadline)
+{
+    request::request_info info;
+    info.attempt = of.attempt;
+    info.account = of.account;
+    info.service = of.service;
+    info.priority = of.priority;
+    info.account_weight = of.account_weight;
+    info.deadline = deadline;
+    if (of.claim_incarnation != 0) {
+        info.claim_incarnation = of.claim_incarnation;
+    }
+    return info;
+}
+
+} // namespace
+
+request_runner::request_runner(const request_runner_options& chosen, clock_function clock_source,
+                               kernel::control_loop& control_loop, http::client& http_client,
+                               std::function<bool()> may_start)
+    : options(chosen), clock(std::move(clock_source)), loop(control_loop), client(http_client),
+      admission(chosen.admission, this->clock, std::move(may_start)),
+      answers(chosen.admission.history, this->clock)
+{
+}
+
+void request_runner::execute(messages::execute of, execute_reply reply)
+{
+    const std::uint64_t attempt = of.attempt;
+    const steady_time deadline = this->clock() + milliseconds(of.deadline_ms);
+    const request::request_info info = info_of(of, deadline);
+    const request::offer_result offered = this->admission.offer(info);
+    if (offered.kind == request::offer_kind::refused) {
+        messages::execute_answer answer;
+        answer.answer = request::make_bodyless_answer(
+            attempt, request::outcome_of_refusal(offered.reason, true),
+            request::to_string(offered.reason));
+        answer.load = this->admission.load();
+        answer.refused = true;
+        spdlog::info("event=attempt_refused attempt={:016x} account={} service={} reason={}",
+                     attempt, of.account, of.service, request::to_string(offered.reason));
+        reply(answer);
+        this->carry_out(offered.others);
+        return;
+    }
+    open_attempt added;
+    added.of = std::move(of);
+    added.deadline = deadline;
+    added.reply = std::move(reply);
+    this->open.emplace(attempt, std::move(added));
+    if (offered.kind == request::offer_kind::started) {
+        this->start(attempt);
+    }
+    this->carry_out(offered.others);
+}
+
+void request_runner::carry_out(const request::dispatch& next)
+{
+    for (const request::refused_attempt& each : next.refused) {
+        this->refuse(each.attempt, each.reason);
+    }
+    for (const request::request_info& each : next.started) {
+        this->start(each.attempt);
+    }
+}
+
+void request_runner::start(std::uint64_t attempt)
+{
+    open_attempt& started = this->open.at(attempt);
+    started.running = true;
+    started.started_at = this->clock();
+    const messages::execute& of = started.of;
+    http::client_request request;
+    request.method = "POST";
+    request.url = fmt::format("http://{}/request", this->options.backend);
+    request.headers = {{"X-Attempt", fmt::format("{:016x}", attempt)},
+                       {"X-Account", of.account},
+                       {"X-Service", of.service},
+                       {"Content-Type", of.content_type.empty() ? "application/octet-stream"
+                                                                : of.content_type}};
+    request.body = of.body;
+    request.at_most_once = !of.idempotent;
+    request.deadline = of.idempotent ? started.deadline
+                                     : started.deadline + this->options.longest_claimed_run;
+    spdlog::debug("event=attempt_started attempt={:016x} account={} service={}", attempt,
+                  of.account, of.service);
+    started.http_number = this->client.send(
+        std::move(request), [this, attempt](absl::StatusOr<http::client_response> response) {
+            this->loop.post([this, attempt, response = std::move(response)]() mutable {
+                this->on_response(attempt, std::move(response));
+            });
+        });
+}
+
+void request_runner::on_response(std::uint64_t attempt,
+                                 absl::StatusOr<http::client_response> response)
+{
+    const auto found = this->open.find(attempt);
+    if (found == this->open.end()) {
+        return;
+    }
+    const open_attempt& ended = found->second;
+    request::answer answer = this->read_response(ended, std::move(response));
+    const milliseconds ran =
+        std::chrono::duration_cast<milliseconds>(this->clock() - ended.started_at);
+    messages::usage_delta& used = this->usage[ended.of.account];
+    used.account = ended.of.account;
+    ++used.requests;
+    used.request_ms += static_cast<std::uint64_t>(ran.count());
+    if (ended.of.claim_incarnation != 0) {
+        this->answers.keep_answer(answer);
+    }
+    const request::outcome_kind outcome = answer.outcome;
+    const request::dispatch next = this->admission.finished(attempt, outcome);
+    this->finish(attempt, std::move(answer), false);
+    this->carry_out(next);
+}
+
+request::answer request_runner::read_response(const open_attempt& of,
+                                              absl::StatusOr<http::client_response> response)
+{
+    const std::uint64_t attempt = of.of.attempt;
+    if (response.ok()) {
+        request::answer answer;
+        answer.attempt = attempt;
+        answer.outcome = response->status >= first_server_error ? request::outcome_kind::failed
+                                                                : request::outcome_kind::done;
+        answer.http_status = response->status;
+        answer.content_type = std::move(response->content_type);
+        answer.body = std::move(response->body);
+        request::seal_answer(answer);
+        return answer;
+    }
+    const std::string detail = errors::message_of(response.status());
+    const std::optional<http::http_errc> code = error_code<http::http_errc>(response.status());
+    request::outcome_kind outcome = request::outcome_kind::unknown;
+    if (code == http::http_errc::not_connected) {
+        outcome = request::outcome_kind::not_run;
+    }
+    else if (code == http::http_errc::incomplete_answer ||
+             code == http::http_errc::answer_too_large) {
+        outcome = request::outcome_of_incomplete_body(of.of.idempotent);
+    }
+    return request::make_bodyless_answer(attempt, outcome, detail);
+}
+
+void request_runner::refuse(std::uint64_t attempt, request::refusal_reason reason)
+{
+    const auto found = this->open.find(attempt);
+    if (found == this->open.end()) {
+        return;
+    }
+    spdlog::info("event=attempt_refused attempt={:016x} account={} service={} reason={}", attempt,
+                 found->second.of.account, found->second.of.service, request::to_string(reason));
+    this->finish(attempt,
+                 request::make_bodyless_answer(attempt, request::outcome_of_refusal(reason, true),
+                                               request::to_string(reason)),
+                 true);
+}
+
+void request_runner::finish(std::uint64_t attempt, request::answer answer, bool refused)
+{
+    const auto found = this->open.find(attempt);
+    messages::execute_answer result;
+    result.answer = std::move(answer);
+    result.load = this->admission.load();
+    result.refused = refused;
+    const execute_reply reply = std::move(found->second.reply);
+    this->open.erase(found);
+    reply(result);
+}
+
+messages::cancel_answer request_runner::cancel(const messages::cancel_attempt& of)
+{
+    const request::cancel_result result = this->admission.cancel(of.attempt, of.claimed);
+    messages::cancel_answer answer;
+    answer.incarnation = this->options.admission.incarnation;
+    answer.never_runs = result.kind == request::cancel_kind::removed_from_queue ||
+                        result.kind == request::cancel_kind::revoked;
+    if (result.kind == request::cancel_kind::removed_from_queue) {
+        this->refuse(of.attempt, request::refusal_reason::cancelled);
+    }
+    const auto found = this->open.find(of.attempt);
+    if (result.kind == request::cancel_kind::running && found != this->open.end() &&
+        found->second.of.idempotent) {
+        this->client.cancel(found->second.http_number);
+    }
+    this->carry_out(result.others);
+    return answer;
+}
+
+messages::fetched_answer request_runner::fetch(const messages::fetch_answer& of) const
+{
+    using state = messages::fetched_answer::state;
+    messages::fetched_answer result;
+    if (of.incarnation != this->options.admission.incarnation) {
+        result.at = state::other_incarnation;
+        return result;
+    }
+    if (this->open.contains(of.attempt)) {
+        result.at = state::running;
+        return result;
+    }
+    const request::answer* const kept = this->answers.find_answer(of.attempt);
+    if (kept != nullptr) {
+        result.at = state::finished;
+        result.answer = *kept;
+        return result;
+    }
+    const std::optional<request::ended_how> ended = this->admission.history().find(of.attempt);
+    result.at = ended == request::ended_how::ran ? state::forgotten : state::never_seen;
+    return result;
+}
+
+void request_runner::tick() { this->carry_out(this->admission.expire()); }
+
+bool request_runner::hold_slots(std::uint64_t task, std::uint32_t count)
+{
+    return this->admission.hold_slots(task, count);
+}
+
+void request_runner::release_slots(std::uint64_t task)
+{
+    this->carry_out(this->admission.release_slots(task));
+}
+
+std::vector<messages::usage_delta> request_runner::take_usage()
+{
+    std::vector<messages::usage_delta> taken;
+    for (auto& [account, delta] : this->usage) {
+        taken.push_back(delta);
+    }
+    this->usage.clear();
+    return taken;
+}
+
+} // namespace redwingwheel::agent
--- /dev/null
+++ b/src/libcontrol/control_service.cpp
@@ -0,0 +1,592 @@
+#include "redwingwheel/control_service.h"
+
+#include <random>
+
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+#include "operator_interface.h"
+#include "redwingwheel/packing.h"
+
+namespace redwingwheel::control {
+
+namespace {
+
+constexpr milliseconds tick_period{20};
+constexpr milliseconds decision_period{50};
+constexpr milliseconds group_search_period{250};
+constexpr milliseconds peer_call_patience{2000};
+/// Results of applied commands that nobody on this replica waits for are dropped beyond this.
+constexpr std::size_t results_kept = 4096;
+
+std::uint64_t draw_random()
+{
+    static thread_local std::mt19937_64 engine(std::random_device{}());
+    return engine();
+}
+
+std::int64_t unix_ms()
+{
+    return std::chrono::duration_cast<milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+controller_options options_from(const config::settings& settings)
+{
+    controller_options options;
+    options.permits.life = settings.timing.permit;
+    options.permits.poll_period = settings.timing.poll;
+    options.gangs.permits = options.permits;
+    return options;
+}
+
+template <class Message>
+std::optional<Message> read(const wire::incoming_request& request)
+{
+    absl::StatusOr<Message> message = unpack<Message>(request.body);
+    if (!message.ok()) {
+        spdlog::warn("event=message_refused kind={} error=\"{}\"", request.kind,
+                     errors::message_of(message.status()));
+        return std::nullopt;
+    }
+    return *std::move(message);
+}
+
+absl::Status unreadable() { return absl::InvalidArgumentError("the message is not readable"); }
+
+} // namespace
+
+control_service::control_service(const config::settings& chosen, std::string_view cluster_secret,
+                                 kernel::control_loop& control_loop,
+                                 kernel::traffic_loop& traffic_loop)
+    : settings(chosen), secret(cluster_secret), loop(control_loop), traffic(traffic_loop),
+      files(chosen.data_folder), storage(this->files, draw_random), state(check_feasibility)
+{
+    controller_hooks hooks;
+    hooks.propose = [this](const command& of, command_done done) {
+        this->propose(of, std::move(done));
+    };
+    hooks.wall_clock_ms = unix_ms;
+    this->decisions = std::make_unique<controller>(options_from(chosen), system_clock_function(),
+                                                   this->state, hooks);
+    this->operators = std::make_unique<operator_interface>(
+        this->state, *this->decisions, hooks, system_clock_function(),
+        [this] { return this->replica->status(); });
+}
+
+control_service::~control_service() = default;
+
+replication::replica_hooks control_service::replica_hooks()
+{
+    replication::replica_hooks hooks;
+    hooks.send = [this](replication::replica_id to, const replication::peer_message& message) {
+        this->send(to, message);
+    };
+    hooks.apply = [this](const replication::log_entry& entry) { this->apply(entry); };
+    hooks.take_snapshot = [this] { return this->state.pack_snapshot(); };
+    hooks.restore_snapshot = [this](const replication::snapshot& from) { this->restore(from); };
+    hooks.leadership_changed = [this](const replication::leadership& now) {
+        this->on_leadership(now);
+    };
+    hooks.random = draw_random;
+    return hooks;
+}
+
+absl::Status control_service::open_storage()
+{
+    const absl::Status prepared = this->files.prepare();
+    if (!prepared.ok()) {
+        return prepared;
+    }
+    replication::replica_options options;
+    options.address = this->settings.control.listen;
+    options.data_centre = this->settings.data_centre;
+    this->replica = std::make_unique<replication::replica>(
+        options, this->storage, system_clock_function(), this->replica_hooks());
+    return this->replica->start();
+}
+
+absl::Status control_service::start()
+{
+    const absl::Status opened = this->open_storage();
+    if (!opened.ok()) {
+        return opened;
+    }
+    const absl::StatusOr<wire::address> on = wire::parse_address(this->settings.control.listen);
+    if (!on.ok()) {
+        return on.status();
+    }
+    this->server = std::make_unique<wire::rpc_server>(
+        this->traffic, this->secret, wire::rpc_options(),
+        [this](wire::incoming_request request, const wire::reply_function& reply) {
+            this->on_request(std::move(request), reply);
+        });
+    const absl::Status listening = this->server->listen(*on);
+    if (!listening.ok()) {
+        return listening;
+    }
+    this->loop.run_every(tick_period, [this] { this->tick(); });
+    spdlog::info("event=control_started address={} identity={:016x} has_state={}",
+                 this->settings.control.listen, this->replica->identity().value,
+                 this->replica->has_state());
+    return absl::OkStatus();
+}
+
+void control_service::drain(steady_time deadline)
+{
+    static_cast<void>(deadline);
+    this->loop.run_and_wait([this] { this->replica->resign(); });
+}
+
+void control_service::stop()
+{
+    this->server->stop();
+    this->loop.run_and_wait([this] {
+        this->stopping = true;
+        this->decisions->end_leadership();
+        this->clients.clear();
+    });
+}
+
+void control_service::on_request(wire::incoming_request request, const wire::reply_function& reply)
+{
+    this->loop.post([this, request = std::move(request), reply]() mutable {
+        if (!this->stopping) {
+            this->serve(std::move(request), reply);
+        }
+    });
+}
+
+void control_service::serve(wire::incoming_request request, const wire::reply_function& reply)
+{
+    switch (static_cast<messages::kind>(request.kind)) {
+    case messages::kind::replication:
+        this->serve_replication(request);
+        reply(std::string());
+        return;
+    case messages::kind::formation:
+        reply(this->formation_reply());
+        return;
+    case messages::kind::join:
+        this->serve_join(request);
+        reply(std::string());
+        return;
+    default:
+        this->serve_leader(std::move(request), reply);
+    }
+}
+
+void control_service::serve_leader(wire::incoming_request request,
+                                   const wire::reply_function& reply)
+{
+    messages::control_reply answer;
+    if (!this->replica->leads() || !this->decisions->leading()) {
+        answer.result = messages::control_reply::verdict::not_leader;
+        answer.leader = this->leader_address();
+        reply(pack(answer));
+        return;
+    }
+    const served done = [reply](absl::StatusOr<std::string> body) {
+        messages::control_reply outcome;
+        if (!body.ok()) {
+            reply(body.status());
+            return;
+        }
+        outcome.result = messages::control_reply::verdict::served;
+        outcome.body = *std::move(body);
+        reply(pack(outcome));
+    };
+    switch (static_cast<messages::kind>(request.kind)) {
+    case messages::kind::agent_poll:
+        this->serve_agent_poll(request, done);
+        return;
+    case messages::kind::entry_poll:
+        this->serve_entry_poll(request, done);
+        return;
+    case messages::kind::claim:
+        this->serve_claim(request, done);
+        return;
+    case messages::kind::operator_call:
+        this->serve_operator_call(request, done);
+        return;
+    default:
+        done(absl::InvalidArgumentError(fmt::format("unknown message kind {}", request.kind)));
+    }
+}
+
+void control_service::serve_agent_poll(const wire::incoming_request& request, const served& done)
+{
+    const std::optional<messages::agent_poll> poll = read<messages::agent_poll>(request);
+    if (!poll.has_value()) {
+        done(unreadable());
+        return;
+    }
+    const std::optional<messages::agent_poll_answer> answer = this->decisions->poll(*poll);
+    if (!answer.has_value()) {
+        done(absl::FailedPreconditionError("the poll is older than one that was answered"));
+        return;
+    }
+    done(pack(*answer));
+    if (!poll->reports.empty()) {
+        this->schedule_decisions();
+    }
+}
+
+void control_service::serve_entry_poll(const wire::incoming_request& request, const served& done)
+{
+    const std::optional<messages::entry_poll> poll = read<messages::entry_poll>(request);
+    if (!poll.has_value()) {
+        done(unreadable());
+        return;
+    }
+    done(pack(this->decisions->poll(*poll)));
+}
+
+void control_service::serve_claim(const wire::incoming_request& request, const served& done)
+{
+    absl::StatusOr<request::claim_command> command = request::unpack_command(request.body);
+    if (!command.ok()) {
+        done(command.status());
+        return;
+    }
+    // The leader's clock dates claims, so that entries' clocks do not matter.
+    std::visit(
+        [](auto& each) {
+            if constexpr (requires { each.now; }) {
+                each.now = unix_ms();
+            }
+            else {
+                each.issued_at = unix_ms();
+            }
+        },
+        *command);
+    this->propose(claim_step{*std::move(command)},
+                  [done](const absl::StatusOr<command_result>& result) {
+                      if (!result.ok()) {
+                          done(result.status());
+                          return;
+                      }
+                      done(pack(messages::to_message(*result->claim)));
+                  });
+}
+
+void control_service::serve_operator_call(const wire::incoming_request& request,
+                                          const served& done)
+{
+    const std::optional<messages::operator_call> call = read<messages::operator_call>(request);
+    if (!call.has_value()) {
+        done(unreadable());
+        return;
+    }
+    this->operators->serve(*call, request.deadline, [done](const messages::operator_answer& answer) {
+        done(pack(answer));
+    });
+    this->schedule_decisions();
+}
+
+void control_service::serve_replication(const wire::incoming_request& request)
+{
+    const std::optional<replication::peer_message> message =
+        read<replication::peer_message>(request);
+    if (!message.has_value()) {
+        return;
+    }
+    if (!message->reply_address.empty()) {
+        this->reply_addresses[message->from] = message->reply_address;
+    }
+    this->replica->receive(message->from, *message);
+}
+
+replication::formation_answer control_service::own_formation() const
+{
+    return {this->settings.control.listen, this->settings.data_centre, this->replica->identity(),
+            this->replica->has_state()};
+}
+
+std::string control_service::formation_reply() { return pack(this->own_formation()); }
+
+void control_service::serve_join(const wire::incoming_request& request)
+{
+    const std::optional<replication::member> joiner = read<replication::member>(request);
+    if (!joiner.has_value() || !this->replica->leads()) {
+        return;
+    }
+    for (const replication::member& known : this->joiners) {
+        if (known.id == joiner->id) {
+            return;
+        }
+    }
+    spdlog::info("event=replica_wants_to_join address={} identity={:016x}", joiner->address,
+                 joiner->id.value);
+    this->joiners.push_back(*joiner);
+}
+
+void control_service::apply(const replication::log_entry& entry)
+{
+    const absl::StatusOr<command> read_command = unpack_command(entry.payload);
+    if (!read_command.ok()) {
+        // Every replica skips the same entry, so they stay equal.
+        spdlog::error("event=command_skipped index={} error=\"{}\"", entry.index.value,
+                      errors::message_of(read_command.status()));
+        return;
+    }
+    command_result result = this->state.apply(*read_command, entry.index.value);
+    this->decisions->applied(*read_command, result, entry.index.value);
+    this->results.emplace(entry.index.value, std::move(result));
+    while (this->results.size() > results_kept) {
+        this->results.erase(this->results.begin());
+    }
+}
+
+void control_service::restore(const replication::snapshot& from)
+{
+    const absl::Status restored = this->state.restore_snapshot(from.state);
+    if (!restored.ok()) {
+        throw std::runtime_error("a snapshot that passed its checksum is not readable: " +
+                                 errors::message_of(restored));
+    }
+    this->decisions->state_replaced();
+}
+
+void control_service::on_leadership(const replication::leadership& now)
+{
+    if (now.self_leads) {
+        this->decisions->begin_leadership(now.term.value);
+        return;
+    }
+    this->decisions->end_leadership();
+    this->joiners.clear();
+}
+
+void control_service::propose(const command& of, command_done done)
+{
+    this->replica->propose(pack_command(of), [this, done = std::move(done)](
+                                                 absl::StatusOr<replication::log_index> index) {
+        if (!index.ok()) {
+            done(index.status());
+            return;
+        }
+        const auto found = this->results.find(index->value);
+        if (found == this->results.end()) {
+            done(absl::InternalError("the result of the command is not kept"));
+            return;
+        }
+        const command_result result = std::move(found->second);
+        this->results.erase(found);
+        done(result);
+    });
+    this->schedule_flush();
+}
+
+void control_service::schedule_flush()
+{
+    if (this->flush_scheduled) {
+        return;
+    }
+    // Everything proposed until the posted task runs shares one sync.
+    this->flush_scheduled = true;
+    this->loop.post([this] {
+        this->flush_scheduled = false;
+        this->replica->flush();
+    });
+}
+
+void control_service::schedule_decisions()
+{
+    if (this->decisions_scheduled) {
+        return;
+    }
+    this->decisions_scheduled = true;
+    this->loop.post([this] {
+        this->decisions_scheduled = false;
+        this->decide();
+    });
+}
+
+void control_service::send(replication::replica_id to, const replication::peer_message& message)
+{
+    std::string address;
+    const replication::member* const member =
+        replication::find_member(this->replica->members(), to);
+    if (member != nullptr) {
+        address = member->address;
+    }
+    else {
+        const auto found = this->reply_addresses.find(to);
+        if (found == this->reply_addresses.end()) {
+            return;
+        }
+        address = found->second;
+    }
+    const steady_time deadline = std::chrono::steady_clock::now() + peer_call_patience;
+    this->client_for(address).call(static_cast<std::uint16_t>(messages::kind::replication),
+                                   pack(message), deadline,
+                                   [](const absl::StatusOr<std::string>&) {});
+}
+
+wire::rpc_client& control_service::client_for(const std::string& address)
+{
+    std::unique_ptr<wire::rpc_client>& client = this->clients[address];
+    if (client == nullptr) {
+        wire::rpc_options options;
+        // A replica that restarts is wanted back within an election.
+        options.max_reconnect_wait = milliseconds(200);
+        client = std::make_unique<wire::rpc_client>(
+            this->traffic, wire::parse_address(address).value_or(wire::address()), this->secret,
+            options);
+    }
+    return *client;
+}
+
+std::string control_service::leader_address() const
+{
+    const std::optional<replication::replica_id> leader = this->replica->known_leader();
+    if (!leader.has_value()) {
+        return "";
+    }
+    const replication::member* const member =
+        replication::find_member(this->replica->members(), *leader);
+    return member == nullptr ? "" : member->address;
+}
+
+void control_service::tick()
+{
+    if (this->stopping) {
+        return;
+    }
+    this->replica->tick();
+    const steady_time now = std::chrono::steady_clock::now();
+    if (now >= this->next_decision) {
+        this->next_decision = now + decision_period;
+        this->decide();
+    }
+    if (now >= this->next_group_search) {
+        this->next_group_search = now + group_search_period;
+        this->seek_group();
+        this->advance_replacement();
+    }
+}
+
+void control_service::decide()
+{
+    if (!this->stopping && this->replica->leads()) {
+        this->decisions->tick();
+    }
+}
+
+void control_service::seek_group()
+{
+    if (this->replica->has_state()) {
+        return;
+    }
+    replication::formation_input input;
+    input.self = this->own_formation();
+    input.configured_addresses = this->settings.control.replicas;
+    for (const auto& [address, answer] : this->formation_answers) {
+        input.answers.push_back(answer);
+    }
+    const replication::formation_decision decision = replication::decide_formation(input);
+    if (decision.action == replication::formation_action::form) {
+        const absl::Status formed = this->replica->form(decision.members);
+        spdlog::info("event=group_formed members={} result=\"{}\"", decision.members.size(),
+                     formed.ToString());
+        return;
+    }
+    if (decision.action == replication::formation_action::join) {
+        this->ask_to_join();
+    }
+    for (const std::string& address : this->settings.control.replicas) {
+        if (address != this->settings.control.listen) {
+            this->ask_formation(address);
+        }
+    }
+}
+
+void control_service::ask_formation(const std::string& address)
+{
+    const steady_time deadline = std::chrono::steady_clock::now() + group_search_period;
+    this->client_for(address).call(
+        static_cast<std::uint16_t>(messages::kind::formation), "", deadline,
+        [this, address](absl::StatusOr<std::string> body) {
+            if (!body.ok()) {
+                return;
+            }
+            const absl::StatusOr<replication::formation_answer> answer =
+                unpack<replication::formation_answer>(*body);
+            if (answer.ok()) {
+                this->loop.post([this, address, answer = *answer] {
+                    this->formation_answers[address] = answer;
+                });
+            }
+        });
+}
+
+void control_service::ask_to_join()
+{
+    const replication::member self{this->replica->identity(), this->settings.control.listen,
+                                   this->settings.data_centre, false};
+    const steady_time deadline = std::chrono::steady_clock::now() + group_search_period;
+    for (const std::string& address : this->settings.control.replicas) {
+        if (address != this->settings.control.listen) {
+            this->client_for(address).call(static_cast<std::uint16_t>(messages::kind::join),
+                                           pack(self), deadline,
+                                           [](const absl::StatusOr<std::string>&) {});
+        }
+    }
+}
+
+void control_service::advance_replacement()
+{
+    if (this->joiners.empty() || !this->replica->leads()) {
+        return;
+    }
+    const replication::member joiner = this->joiners.front();
+    const replication::replica_status status = this->replica->status();
+    bool caught_up = false;
+    for (const replication::member_status& each : status.members) {
+        if (each.who.id == joiner.id) {
+            caught_up = each.caught_up;
+        }
+    }
+    const replication::replacement_step step =
+        replication::plan_replacement(this->replica->members(), joiner, caught_up);
+    const replication::replica::status_done report = [address = step.subject.address](
+                                                         const absl::Status& result) {
+        spdlog::info("event=member_changed address={} result=\"{}\"", address, result.ToString());
+    };
+    switch (step.action) {
+    case replication::replacement_action::add_learner:
+        this->replica->add_learner(step.subject, report);
+        return;
+    case replication::replacement_action::promote:
+        this->replica->promote(step.subject.id, report);
+        return;
+    case replication::replacement_action::remove:
+        this->replica->remove(step.subject.id, report);
+        return;
+    case replication::replacement_action::none:
+        this->joiners.erase(this->joiners.begin());
+        return;
+    case replication::replacement_action::wait:
+        return;
+    }
+}
+
+control_service::gauges control_service::read_gauges()
+{
+    gauges read;
+    this->loop.run_and_wait([this, &read] {
+        const replication::replica_status status = this->replica->status();
+        read.leads = this->replica->leads();
+        read.term = status.term.value;
+        read.commit = status.commit.value;
+        read.revision = this->state.configuration().revision();
+    });
+    const wire::rpc_statistics traffic_counts = this->server->statistics();
+    read.bytes_in = traffic_counts.bytes_in;
+    read.bytes_out = traffic_counts.bytes_out;
+    return read;
+}
+
+} // namespace redwingwheel::control
--- /dev/null
+++ b/src/libcontrol/control_state.cpp
@@ -0,0 +1,504 @@
+#include "redwingwheel/control_state.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "redwingwheel/packing.h"
+
+namespace redwingwheel::control {
+
+namespace {
+
+/// Ended jobs that are kept for questions about them; at 5,600 jobs a day about a week.
+constexpr std::size_t ended_jobs_kept = 40'000;
+constexpr std::uint32_t snapshot_version = 1;
+
+/// The index of a command's type in the variant, then the command.
+struct tagged_command {
+    std::uint32_t type = 0;
+    std::string bytes;
+    MSGPACK_DEFINE(type, bytes)
+};
+
+struct packed_gang_step {
+    std::uint32_t type = 0;
+    std::string bytes;
+    std::int64_t now_ms = 0;
+    MSGPACK_DEFINE(type, bytes, now_ms)
+};
+
+template <class Variant, std::size_t Index = 0>
+absl::StatusOr<Variant> unpack_alternative(std::uint32_t type, std::string_view bytes)
+{
+    if constexpr (Index < std::variant_size_v<Variant>) {
+        if (type != Index) {
+            return unpack_alternative<Variant, Index + 1>(type, bytes);
+        }
+        absl::StatusOr<std::variant_alternative_t<Index, Variant>> value =
+            unpack<std::variant_alternative_t<Index, Variant>>(bytes);
+        if (!value.ok()) {
+            return translate_error(control_errc::malformed_command, value.status());
+        }
+        return Variant(*std::move(value));
+    }
+    else {
+        return make_error(control_errc::malformed_command, fmt::format("command type {}", type));
+    }
+}
+
+std::string pack_body(const gang_step_command& of)
+{
+    const std::string step =
+        std::visit([](const auto& value) { return redwingwheel::pack(value); }, of.step);
+    return pack(packed_gang_step{static_cast<std::uint32_t>(of.step.index()), step, of.now_ms});
+}
+
+std::string pack_body(const claim_step& of) { return request::pack_command(of.command); }
+
+template <class Command>
+std::string pack_body(const Command& of)
+{
+    return pack(of);
+}
+
+absl::StatusOr<command> unpack_gang_step(std::string_view bytes)
+{
+    const absl::StatusOr<packed_gang_step> outer = unpack<packed_gang_step>(bytes);
+    if (!outer.ok()) {
+        return translate_error(control_errc::malformed_command, outer.status());
+    }
+    absl::StatusOr<membership::gang_proposal> step =
+        unpack_alternative<membership::gang_proposal>(outer->type, outer->bytes);
+    if (!step.ok()) {
+        return step.status();
+    }
+    return command(gang_step_command{*std::move(step), outer->now_ms});
+}
+
+absl::StatusOr<command> unpack_claim_step(std::string_view bytes)
+{
+    absl::StatusOr<request::claim_command> inner = request::unpack_command(bytes);
+    if (!inner.ok()) {
+        return translate_error(control_errc::malformed_command, inner.status());
+    }
+    return command(claim_step{*std::move(inner)});
+}
+
+template <class Type, std::size_t Index = 0>
+constexpr std::uint32_t type_of()
+{
+    if constexpr (std::is_same_v<std::variant_alternative_t<Index, command>, Type>) {
+        return Index;
+    }
+    else {
+        return type_of<Type, Index + 1>();
+    }
+}
+
+/// The plain types, for which unpack_alternative needs a MSGPACK_DEFINE on each alternative.
+using plain_command = std::variant<apply_note, set_data_centre, announce_worker, submit_job,
+                                   cancel_job, end_job, place_job>;
+
+command_result refused(std::string_view reason)
+{
+    command_result result;
+    result.accepted = false;
+    result.reason = reason;
+    return result;
+}
+
+/// A job whose task code may have begun, and which must not begin a second time.
+bool must_not_run_again(const job_record& of)
+{
+    return of.starts > 0 && !of.job.idempotent && !of.job.can_checkpoint;
+}
+
+} // namespace
+
+std::string_view error_name(control_errc code)
+{
+    return code == control_errc::malformed_command ? "malformed command" : "malformed snapshot";
+}
+
+std::string_view to_text(job_step step)
+{
+    switch (step) {
+    case job_step::queued:
+        return "queued";
+    case job_step::placed:
+        return "placed";
+    case job_step::running:
+        return "running";
+    case job_step::done:
+        return "done";
+    case job_step::failed:
+        return "failed";
+    case job_step::cancelled:
+        return "cancelled";
+    case job_step::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+bool is_final(job_step step) { return step >= job_step::done; }
+
+std::string pack_command(const command& of)
+{
+    const std::string bytes = std::visit([](const auto& value) { return pack_body(value); }, of);
+    return pack(tagged_command{static_cast<std::uint32_t>(of.index()), bytes});
+}
+
+absl::StatusOr<command> unpack_command(std::string_view bytes)
+{
+    const absl::StatusOr<tagged_command> outer = unpack<tagged_command>(bytes);
+    if (!outer.ok()) {
+        return translate_error(control_errc::malformed_command, outer.status());
+    }
+    if (outer->type == type_of<gang_step_command>()) {
+        return unpack_gang_step(outer->bytes);
+    }
+    if (outer->type == type_of<claim_step>()) {
+        return unpack_claim_step(outer->bytes);
+    }
+    if (outer->type == type_of<record_usage>()) {
+        absl::StatusOr<record_usage> usage = unpack<record_usage>(outer->bytes);
+        if (!usage.ok()) {
+            return translate_error(control_errc::malformed_command, usage.status());
+        }
+        return command(*std::move(usage));
+    }
+    absl::StatusOr<plain_command> plain =
+        unpack_alternative<plain_command>(outer->type, outer->bytes);
+    if (!plain.ok()) {
+        return plain.status();
+    }
+    return std::visit([](auto& value) { return command(std::move(value)); }, *plain);
+}
+
+control_state::control_state(feasibility_function feasible_check)
+    : feasible(std::move(feasible_check))
+{
+    this->config.emplace(this->configuration_options());
+}
+
+config::configuration_options control_state::configuration_options() const
+{
+    config::configuration_options options;
+    options.admission = [this](const config::configuration& proposed) {
+        std::vector<messages::worker_announcement> inventory;
+        for (const auto& [name, worker] : this->worker_records) {
+            inventory.push_back(worker);
+        }
+        return this->feasible(proposed, inventory);
+    };
+    return options;
+}
+
+command_result control_state::apply(const command& of, std::uint64_t index)
+{
+    return std::visit([this, index](const auto& each) { return this->apply_one(each, index); },
+                      of);
+}
+
+data_centre_record control_state::data_centre(std::string_view name) const
+{
+    const auto found = this->data_centre_records.find(std::string(name));
+    return found == this->data_centre_records.end() ? data_centre_record() : found->second;
+}
+
+const job_record* control_state::find_job(std::string_view id) const
+{
+    const auto found = this->job_records.find(id);
+    return found == this->job_records.end() ? nullptr : &found->second;
+}
+
+command_result control_state::apply_one(const apply_note& of, std::uint64_t index)
+{
+    command_result result;
+    result.note = this->config->apply(of.note, of.origin);
+    result.accepted = result.note->outcome == config::apply_outcome::accepted;
+    if (!result.accepted || result.note->resend) {
+        return result;
+    }
+    const std::string& who = of.origin.operator_name;
+    for (const config::data_centre& added : of.note.added.data_centres) {
+        this->data_centre_records[added.name] = {true, index, who, of.origin.unix_ms};
+    }
+    for (const std::string& withdrawn : of.note.withdrawn.data_centres) {
+        this->data_centre_records[withdrawn] = {false, index, who, of.origin.unix_ms};
+    }
+    return result;
+}
+
+command_result control_state::apply_one(const set_data_centre& of, std::uint64_t index)
+{
+    if (this->config->find_data_centre(of.data_centre) == nullptr) {
+        return refused(fmt::format("data centre {} is not configured", of.data_centre));
+    }
+    this->data_centre_records[of.data_centre] = {of.in_service, index, of.operator_name,
+                                                 of.now_ms};
+    return {};
+}
+
+command_result control_state::apply_one(const announce_worker& of, std::uint64_t)
+{
+    this->worker_records[of.worker.worker] = of.worker;
+    return {};
+}
+
+command_result control_state::apply_one(const submit_job& of, std::uint64_t)
+{
+    const job_record* const known = this->find_job(of.job.id);
+    if (known != nullptr) {
+        // A resend of the same job gets the first answer; the same name for another job does not.
+        return known->job == of.job ? command_result()
+                                    : refused("the job identity is taken by another job");
+    }
+    const config::service* const service = this->config->find_service(of.job.service);
+    if (service == nullptr || this->config->find_client_account(of.job.account) == nullptr) {
+        return refused("the service or the account is not configured");
+    }
+    job_record added;
+    added.job = of.job;
+    added.submitted_ms = of.now_ms;
+    this->job_records.emplace(of.job.id, std::move(added));
+    return {};
+}
+
+command_result control_state::apply_one(const cancel_job& of, std::uint64_t)
+{
+    const auto found = this->job_records.find(of.id);
+    if (found == this->job_records.end() || found->second.job.account != of.account) {
+        return refused("no such job");
+    }
+    job_record& job = found->second;
+    if (job.step == job_step::queued) {
+        this->finish_job(job, job_step::cancelled, "cancelled by its account", of.now_ms);
+    }
+    else if (!is_final(job.step)) {
+        job.cancel_requested = true;
+    }
+    return {};
+}
+
+command_result control_state::apply_one(const end_job& of, std::uint64_t)
+{
+    const auto found = this->job_records.find(of.id);
+    if (found == this->job_records.end() || found->second.step != job_step::queued) {
+        return refused("the job is not queued");
+    }
+    this->finish_job(found->second, of.step, of.reason, of.now_ms);
+    return {};
+}
+
+command_result control_state::apply_one(const place_job& of, std::uint64_t)
+{
+    const auto found = this->job_records.find(of.id);
+    if (found == this->job_records.end()) {
+        return refused("no such job");
+    }
+    job_record& job = found->second;
+    if (job.step != job_step::queued || of.epoch <= job.epoch) {
+        return refused("the job is not queued, or the epoch is old");
+    }
+    job.step = job_step::placed;
+    job.epoch = of.epoch;
+    job.members = of.members;
+    job.borrowed = of.borrowed;
+    job.uses_guarantee = of.uses_guarantee;
+    this->gang_records.place(of.id, of.epoch, of.members);
+    return {};
+}
+
+command_result control_state::apply_one(const gang_step_command& of, std::uint64_t)
+{
+    this->gang_records.apply(of.step);
+    if (const auto* ended = std::get_if<membership::gang_ended>(&of.step)) {
+        this->end_gang(*ended, of.now_ms);
+        return {};
+    }
+    if (const auto* released = std::get_if<membership::gang_released>(&of.step)) {
+        const auto found = this->job_records.find(released->job);
+        if (found != this->job_records.end() && found->second.epoch == released->epoch) {
+            job_record& job = found->second;
+            job.step = job_step::running;
+            job.members = released->members;
+            ++job.starts;
+            job.started_ms = of.now_ms;
+        }
+        return {};
+    }
+    if (const auto* abandoned = std::get_if<membership::gang_abandoned>(&of.step)) {
+        const auto found = this->job_records.find(abandoned->job);
+        if (found != this->job_records.end() && found->second.epoch == abandoned->epoch) {
+            job_record& job = found->second;
+            job.step = job_step::queued;
+            job.members.clear();
+            if (job.cancel_requested) {
+                this->finish_job(job, job_step::cancelled, "cancelled by its account", of.now_ms);
+            }
+        }
+    }
+    return {};
+}
+
+void control_state::end_gang(const membership::gang_ended& step, std::int64_t now_ms)
+{
+    const auto found = this->job_records.find(step.job);
+    if (found == this->job_records.end() || found->second.epoch != step.epoch) {
+        return;
+    }
+    job_record& job = found->second;
+    job.members.clear();
+    const std::string reason(membership::to_text(step.reason));
+    if (step.reason == membership::gang_end_reason::completed) {
+        this->finish_job(job, job_step::done, reason, now_ms);
+    }
+    else if (job.cancel_requested) {
+        this->finish_job(job, job_step::cancelled, "cancelled by its account", now_ms);
+    }
+    else if (must_not_run_again(job)) {
+        const bool any_unknown = std::any_of(
+            step.members.begin(), step.members.end(),
+            [](const membership::gang_member_record& member) {
+                return member.outcome == membership::task_outcome::unknown;
+            });
+        this->finish_job(job, any_unknown ? job_step::unknown : job_step::failed, reason, now_ms);
+    }
+    else {
+        job.step = job_step::queued;
+        job.reason = reason;
+    }
+}
+
+void control_state::finish_job(job_record& job, job_step step, std::string_view reason,
+                               std::int64_t now_ms)
+{
+    job.step = step;
+    job.reason = reason;
+    job.ended_ms = now_ms;
+    job.members.clear();
+    this->ended_jobs.push_back(job.job.id);
+    this->forget_old_jobs();
+}
+
+void control_state::forget_old_jobs()
+{
+    if (this->ended_jobs.size() <= ended_jobs_kept) {
+        return;
+    }
+    // In batches, so that the vector is not shifted at every end.
+    constexpr std::size_t batch = 1'000;
+    const std::size_t count = std::min(batch, this->ended_jobs.size());
+    for (std::size_t index = 0; index < count; ++index) {
+        this->job_records.erase(this->ended_jobs[index]);
+    }
+    this->ended_jobs.erase(this->ended_jobs.begin(),
+                           this->ended_jobs.begin() + static_cast<std::ptrdiff_t>(count));
+}
+
+command_result control_state::apply_one(const claim_step& of, std::uint64_t)
+{
+    command_result result;
+    result.claim = this->claim_records.apply(of.command);
+    return result;
+}
+
+command_result control_state::apply_one(const record_usage& of, std::uint64_t)
+{
+    usage_source& source = this->usage_sources[of.source];
+    if (source.incarnation == of.incarnation && of.batch <= source.batch) {
+        return refused("the batch is recorded");
+    }
+    source = {of.incarnation, of.batch};
+    for (const messages::usage_delta& delta : of.usage) {
+        usage_record& account = this->usage_records[delta.account];
+        account.accelerator_ms += delta.accelerator_ms;
+        account.requests += delta.requests;
+        account.request_ms += delta.request_ms;
+    }
+    return {};
+}
+
+std::uint64_t control_state::recorded_usage_batch(std::string_view source,
+                                                  std::uint64_t incarnation) const
+{
+    const auto found = this->usage_sources.find(source);
+    if (found == this->usage_sources.end() || found->second.incarnation != incarnation) {
+        return 0;
+    }
+    return found->second.batch;
+}
+
+struct control_state::snapshot {
+    std::uint32_t version = snapshot_version;
+    std::string config;
+    std::map<std::string, data_centre_record> data_centres;
+    std::map<std::string, messages::worker_announcement> workers;
+    std::vector<job_record> jobs;
+    std::vector<std::string> ended_jobs;
+    std::vector<membership::gang_record> gangs;
+    std::string claims;
+    std::map<std::string, usage_record> usage;
+    std::map<std::string, usage_source> usage_sources;
+    MSGPACK_DEFINE(version, config, data_centres, workers, jobs, ended_jobs, gangs, claims, usage,
+                   usage_sources)
+};
+
+std::string control_state::pack_snapshot() const
+{
+    snapshot whole;
+    whole.config = this->config->snapshot();
+    whole.data_centres = this->data_centre_records;
+    whole.workers = this->worker_records;
+    for (const auto& [id, job] : this->job_records) {
+        whole.jobs.push_back(job);
+    }
+    whole.ended_jobs = this->ended_jobs;
+    whole.gangs = this->gang_records.records();
+    whole.claims = this->claim_records.pack_snapshot();
+    whole.usage = this->usage_records;
+    whole.usage_sources.insert(this->usage_sources.begin(), this->usage_sources.end());
+    return pack(whole);
+}
+
+absl::Status control_state::restore_snapshot(std::string_view bytes)
+{
+    absl::StatusOr<snapshot> whole = unpack<snapshot>(bytes);
+    if (!whole.ok()) {
+        return translate_error(control_errc::malformed_snapshot, whole.status());
+    }
+    if (whole->version != snapshot_version) {
+        return make_error(control_errc::malformed_snapshot,
+                          fmt::format("version {}", whole->version));
+    }
+    absl::StatusOr<config::configuration> restored =
+        config::configuration::restore(whole->config, this->configuration_options());
+    if (!restored.ok()) {
+        return translate_error(control_errc::malformed_snapshot, restored.status());
+    }
+    request::claim_table claims;
+    const absl::Status claims_restored = claims.restore_snapshot(whole->claims);
+    if (!claims_restored.ok()) {
+        return translate_error(control_errc::malformed_snapshot, claims_restored);
+    }
+    this->config = *std::move(restored);
+    this->claim_records = std::move(claims);
+    this->data_centre_records = std::move(whole->data_centres);
+    this->worker_records = std::move(whole->workers);
+    this->job_records.clear();
+    for (job_record& job : whole->jobs) {
+        std::string id = job.job.id;
+        this->job_records.emplace(std::move(id), std::move(job));
+    }
+    this->ended_jobs = std::move(whole->ended_jobs);
+    this->gang_records.load(std::move(whole->gangs));
+    this->usage_records = std::move(whole->usage);
+    this->usage_sources.clear();
+    this->usage_sources.insert(whole->usage_sources.begin(), whole->usage_sources.end());
+    return absl::OkStatus();
+}
+
+} // namespace redwingwheel::control
--- /dev/null
+++ b/src/libentry/entry_service.cpp
@@ -0,0 +1,388 @@
+#include "redwingwheel/entry_service.h"
+
+#include <algorithm>
+#include <charconv>
+#include <random>
+#include <thread>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <spdlog/spdlog.h>
+
+#include "redwingwheel/digest.h"
+#include "redwingwheel/packing.h"
+#include "request_flow.h"
+
+namespace redwingwheel::entry {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr milliseconds poll_patience{900};
+constexpr milliseconds retry_pause{100};
+/// Operators' calls may wait for a change to be in force.
+constexpr milliseconds operator_patience{30'000};
+constexpr std::uint64_t longest_deadline_ms = 3'600'000;
+constexpr std::string_view request_path = "/v1/requests/";
+constexpr std::string_view bearer = "Bearer ";
+
+std::uint64_t draw_random()
+{
+    static thread_local std::mt19937_64 engine(std::random_device{}());
+    return engine();
+}
+
+membership::permit_options permit_options_from(const config::settings& settings)
+{
+    membership::permit_options options;
+    options.life = settings.timing.permit;
+    options.poll_period = settings.timing.poll;
+    return options;
+}
+
+request::router_options router_options_from(const config::settings& settings)
+{
+    request::router_options options;
+    options.local_data_centre = settings.data_centre;
+    return options;
+}
+
+http::server_response error_response(int status, std::string_view outcome, std::string_view reason)
+{
+    http::server_response response;
+    response.status = status;
+    response.body = json{{"outcome", outcome}, {"reason", reason}}.dump();
+    response.headers = {{"X-Outcome", std::string(outcome)}};
+    return response;
+}
+
+http::server_response bad_input(std::string_view field, std::string_view value,
+                                std::string_view allowed)
+{
+    http::server_response response;
+    response.status = 400;
+    response.body = json{{"outcome", "not_run"},
+                         {"problems",
+                          {{{"file", "request"},
+                            {"field", field},
+                            {"value", value},
+                            {"allowed", allowed}}}}}
+                        .dump();
+    response.headers = {{"X-Outcome", "not_run"}};
+    return response;
+}
+
+std::string token_digest_of(const http::server_request& request)
+{
+    const std::string_view header = request.header("authorization");
+    if (!header.starts_with(bearer)) {
+        return "";
+    }
+    return digest::token_digest(header.substr(bearer.size()));
+}
+
+std::string query_text(const http::header_map& query)
+{
+    std::string text;
+    for (const auto& [name, value] : query) {
+        text += fmt::format("{}{}={}", text.empty() ? "" : "&", name, value);
+    }
+    return text;
+}
+
+} // namespace
+
+entry_service::entry_service(const config::settings& chosen, std::string_view cluster_secret,
+                             kernel::control_loop& control_loop,
+                             kernel::traffic_loop& traffic_loop, metrics::registry& registry)
+    : settings(chosen), secret(cluster_secret), loop(control_loop), traffic(traffic_loop),
+      metrics(registry),
+      permits(system_clock_function(), permit_options_from(chosen), chosen.data_centre),
+      control(control_loop, traffic_loop, chosen.control.replicas, cluster_secret),
+      router(router_options_from(chosen), system_clock_function(), draw_random),
+      retries({}, system_clock_function())
+{
+}
+
+entry_service::~entry_service() = default;
+
+absl::Status entry_service::start()
+{
+    const absl::StatusOr<wire::address> on = wire::parse_address(this->settings.entry.listen);
+    if (!on.ok()) {
+        return on.status();
+    }
+    http::server_options options;
+    options.threads = static_cast<int>(this->settings.entry.threads);
+    options.max_request_bytes = std::size_t{this->settings.entry.max_body_kb} * 1024;
+    this->server = std::make_unique<http::server>(
+        options, [this](http::server_request request, http::responder respond) {
+            this->on_http(std::move(request), std::move(respond));
+        });
+    const absl::Status listening = this->server->start(*on);
+    if (!listening.ok()) {
+        return listening;
+    }
+    this->loop.post([this] { this->poll(); });
+    spdlog::info("event=entry_started address={}", this->settings.entry.listen);
+    return absl::OkStatus();
+}
+
+void entry_service::drain(steady_time deadline)
+{
+    this->loop.run_and_wait([this] { this->unhealthy = true; });
+    const steady_time notice_over = std::min(
+        deadline, std::chrono::steady_clock::now() + this->settings.entry.drain_notice);
+    std::this_thread::sleep_until(notice_over);
+    this->loop.run_and_wait([this] { this->draining = true; });
+    const std::size_t left = this->server->wait_until_idle(deadline);
+    spdlog::info("event=entry_drained open_requests={}", left);
+}
+
+void entry_service::stop()
+{
+    this->server->stop();
+    this->loop.run_and_wait([this] { this->stopping = true; });
+}
+
+void entry_service::on_http(http::server_request request, http::responder respond)
+{
+    if (request.path == "/metrics") {
+        respond({200, "text/plain; version=0.0.4", this->metrics.render(), {}});
+        return;
+    }
+    this->loop.post([this, request = std::move(request), respond = std::move(respond)]() mutable {
+        if (!this->stopping) {
+            this->serve(std::move(request), respond);
+        }
+    });
+}
+
+void entry_service::serve(http::server_request request, const http::responder& respond)
+{
+    if (request.path == "/health") {
+        const bool healthy = !this->unhealthy && this->in_force();
+        const json body = {{"status", healthy          ? "serving"
+                                      : this->unhealthy ? "draining"
+                                                        : "no permit"},
+                           {"revision", this->configuration.revision()}};
+        respond({healthy ? 200 : 503, "application/json", body.dump(), {}});
+        return;
+    }
+    if (request.path.starts_with(request_path)) {
+        this->serve_request(std::move(request), respond);
+        return;
+    }
+    this->forward(std::move(request), respond);
+}
+
+bool entry_service::in_force() const { return this->current && this->permits.lease_valid(); }
+
+std::string entry_service::find_account(std::string_view token_digest) const
+{
+    std::string found;
+    // Every digest is compared, so that the time does not tell which one matched.
+    for (const config::client_account& each : this->configuration.client_accounts()) {
+        if (digest::equal_in_constant_time(each.token_digest, token_digest)) {
+            found = each.name;
+        }
+    }
+    return found;
+}
+
+std::string entry_service::find_operator(std::string_view token_digest) const
+{
+    std::string found;
+    for (const config::operator_settings& each : this->settings.entry.operators) {
+        if (digest::equal_in_constant_time(each.token_digest, token_digest)) {
+            found = each.name;
+        }
+    }
+    return found;
+}
+
+void entry_service::serve_request(http::server_request request, const http::responder& respond)
+{
+    if (this->draining) {
+        respond(error_response(503, "not_run", "this entry is shutting down"));
+        return;
+    }
+    if (!this->in_force()) {
+        respond(error_response(503, "not_run", "this entry has no permit from control"));
+        return;
+    }
+    const std::string account = this->find_account(token_digest_of(request));
+    if (account.empty()) {
+        respond(error_response(401, "not_run", "unknown token"));
+        return;
+    }
+    const std::string service_name = request.path.substr(request_path.size());
+    const config::service* const service = this->configuration.find_service(service_name);
+    const bool allowed = service != nullptr &&
+                         std::find(service->accounts.begin(), service->accounts.end(), account) !=
+                             service->accounts.end();
+    if (!allowed) {
+        respond(error_response(404, "not_run", "no such service for this account"));
+        return;
+    }
+    caller_request asked;
+    asked.account = account;
+    asked.service = *service;
+    asked.account_weight = this->configuration.find_client_account(account)->weight;
+    asked.key = request.header("idempotency-key");
+    if (!service->idempotent && asked.key.empty()) {
+        respond(bad_input("Idempotency-Key", "(missing)",
+                          "<unix seconds>-<rest>; the service is not idempotent"));
+        return;
+    }
+    std::uint64_t deadline_ms = service->default_deadline_ms;
+    const std::string_view given = request.header("x-deadline-ms");
+    if (!given.empty()) {
+        const std::from_chars_result read =
+            std::from_chars(given.data(), given.data() + given.size(), deadline_ms);
+        if (read.ec != std::errc() || read.ptr != given.data() + given.size() ||
+            deadline_ms == 0 || deadline_ms > longest_deadline_ms) {
+            respond(bad_input("X-Deadline-Ms", given, "1 to 3600000"));
+            return;
+        }
+    }
+    asked.deadline = std::chrono::steady_clock::now() + milliseconds(deadline_ms);
+    asked.content_type = request.header("content-type");
+    asked.body = std::move(request.body);
+    const std::shared_ptr<request_flow> flow =
+        std::make_shared<request_flow>(*this, std::move(asked), respond);
+    this->flows.emplace(flow.get(), flow);
+    flow->start();
+}
+
+void entry_service::forward(http::server_request request, const http::responder& respond)
+{
+    const std::string digest = token_digest_of(request);
+    messages::operator_call call;
+    call.caller = this->find_operator(digest);
+    call.role = messages::caller_role::operator_role;
+    if (call.caller.empty()) {
+        call.caller = this->find_account(digest);
+        call.role = messages::caller_role::client_account;
+    }
+    if (call.caller.empty()) {
+        respond(error_response(401, "not_run", "unknown token"));
+        return;
+    }
+    call.method = request.method;
+    call.path = request.path;
+    call.query = query_text(request.query);
+    call.body = std::move(request.body);
+    this->control.call(
+        messages::kind::operator_call, pack(call),
+        std::chrono::steady_clock::now() + operator_patience,
+        [respond](const absl::StatusOr<std::string>& body) {
+            if (!body.ok()) {
+                const bool untouched = error_code<control::leader_errc>(body.status()) ==
+                                       control::leader_errc::no_leader;
+                respond(error_response(503, untouched ? "not_run" : "unknown",
+                                       errors::message_of(body.status())));
+                return;
+            }
+            const absl::StatusOr<messages::operator_answer> answer =
+                unpack<messages::operator_answer>(*body);
+            if (!answer.ok()) {
+                respond(error_response(502, "unknown", "the answer is not readable"));
+                return;
+            }
+            respond({answer->status, "application/json", answer->body, {}});
+        });
+}
+
+void entry_service::poll()
+{
+    if (this->stopping) {
+        return;
+    }
+    messages::entry_poll message;
+    message.entry = this->settings.name;
+    message.data_centre = this->settings.data_centre;
+    message.revision = this->configuration.revision();
+    message.table_version = this->table_version;
+    message.table_term = this->table_term;
+    const steady_time sent_at = std::chrono::steady_clock::now();
+    this->control.call_once(messages::kind::entry_poll, pack(message), sent_at + poll_patience,
+                            [this, sent_at](const absl::StatusOr<std::string>& body) {
+                                this->on_poll_answer(sent_at, body);
+                            });
+}
+
+void entry_service::on_poll_answer(steady_time sent_at, const absl::StatusOr<std::string>& body)
+{
+    milliseconds next = retry_pause;
+    if (body.ok()) {
+        const absl::StatusOr<messages::entry_poll_answer> answer =
+            unpack<messages::entry_poll_answer>(*body);
+        if (answer.ok()) {
+            this->take_permit(*answer, sent_at);
+            this->take_agents(*answer);
+            // A change that was just taken over is confirmed at once.
+            next = answer->catch_up.empty() ? this->settings.timing.poll : milliseconds(0);
+        }
+    }
+    this->loop.run_at(std::chrono::steady_clock::now() + next, [this] { this->poll(); });
+}
+
+void entry_service::take_permit(const messages::entry_poll_answer& answer, steady_time sent_at)
+{
+    for (const config::catch_up& each : answer.catch_up) {
+        const absl::Status advanced = this->configuration.advance(each);
+        if (!advanced.ok()) {
+            spdlog::warn("event=catch_up_failed error=\"{}\"", errors::message_of(advanced));
+            this->configuration = config::configuration();
+            this->current = false;
+            return;
+        }
+        spdlog::info("event=revision_in_force revision={}", this->configuration.revision());
+    }
+    const membership::permit_verdict verdict =
+        this->permits.accept(answer.granted, sent_at, this->configuration.revision());
+    this->current = verdict.kind == membership::permit_verdict_kind::accepted;
+    this->metrics.set("redwingwheel_configuration_revision", "",
+                      static_cast<double>(this->configuration.revision()));
+}
+
+void entry_service::take_agents(const messages::entry_poll_answer& answer)
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    for (const messages::agent_entry& each : answer.agents) {
+        if (each.lost) {
+            this->router.remove_agent(each.worker);
+            continue;
+        }
+        agent_link& link = this->agents[each.worker];
+        if (link.client == nullptr || link.address != each.address) {
+            link.address = each.address;
+            link.client = std::make_unique<wire::rpc_client>(
+                this->traffic, wire::parse_address(each.address).value_or(wire::address()),
+                this->secret, wire::rpc_options());
+        }
+        request::agent_info info;
+        info.worker = each.worker;
+        info.data_centre = each.data_centre;
+        info.incarnation = each.incarnation;
+        info.may_start = each.may_start;
+        info.shutting_down = each.shutting_down;
+        info.ramp_deadline = now + milliseconds(each.ramp_remaining_ms);
+        info.load = each.load;
+        this->router.update_agent(info);
+    }
+    this->table_version = answer.table_version;
+    this->table_term = answer.table_term;
+}
+
+wire::rpc_client* entry_service::agent_client(std::string_view worker)
+{
+    const auto found = this->agents.find(worker);
+    return found == this->agents.end() ? nullptr : found->second.client.get();
+}
+
+void entry_service::end_flow(const request_flow* ended) { this->flows.erase(ended); }
+
+} // namespace redwingwheel::entry
--- /dev/null
+++ b/src/libentry/request_flow.cpp
@@ -0,0 +1,560 @@
+#include "request_flow.h"
+
+#include <random>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <spdlog/spdlog.h>
+
+#include "redwingwheel/digest.h"
+#include "redwingwheel/packing.h"
+
+namespace redwingwheel::entry {
+
+namespace {
+
+using nlohmann::json;
+
+/// A recorded answer is worth waiting for beyond the caller's deadline, so that a resend finds it.
+constexpr milliseconds record_patience{5000};
+constexpr milliseconds claim_patience{2000};
+constexpr milliseconds fetch_patience{500};
+constexpr milliseconds fetch_period{100};
+/// Another entry may be about to send the attempt that it has claimed.
+constexpr milliseconds arrival_patience{500};
+/// Sent with each attempt: what the way back to this entry takes.
+constexpr milliseconds way_back{2};
+
+constexpr int status_conflict = 409;
+constexpr int status_gone = 410;
+constexpr int status_key_reused = 422;
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr int status_timeout = 504;
+
+std::uint64_t draw_attempt()
+{
+    static thread_local std::mt19937_64 engine(std::random_device{}());
+    std::uint64_t drawn = 0;
+    while (drawn == 0) {
+        drawn = engine();
+    }
+    return drawn;
+}
+
+absl::StatusOr<messages::claim_reply> read_claim(const absl::StatusOr<std::string>& body)
+{
+    if (!body.ok()) {
+        return body.status();
+    }
+    return unpack<messages::claim_reply>(*body);
+}
+
+} // namespace
+
+request_flow::request_flow(entry_service& service, caller_request request,
+                           http::responder respond_to)
+    : owner(service), asked(std::move(request)), reply(std::move(respond_to)),
+      begun_at(std::chrono::steady_clock::now())
+{
+}
+
+void request_flow::start()
+{
+    this->owner.retries.note_request(this->asked.service.name);
+    this->next_attempt();
+}
+
+void request_flow::next_attempt()
+{
+    request::request_info info;
+    info.attempt = draw_attempt();
+    info.account = this->asked.account;
+    info.service = this->asked.service.name;
+    info.priority = static_cast<request::request_class>(this->asked.service.request_class);
+    info.account_weight = this->asked.account_weight;
+    info.deadline = this->asked.deadline;
+    const std::uint64_t former = this->current.attempt;
+    const request::decision made = this->owner.router.choose(info, this->excluded);
+    this->log_decision(made);
+    if (!made.chosen.has_value()) {
+        this->on_no_agent();
+        return;
+    }
+    this->current = {info.attempt, *made.chosen, {}};
+    ++this->tries;
+    if (!this->claimed()) {
+        this->send();
+    }
+    else if (this->has_claim) {
+        this->reassign_claim(former);
+    }
+    else {
+        this->begin_claim();
+    }
+}
+
+void request_flow::on_no_agent()
+{
+    if (this->has_claim) {
+        // The former attempt is recorded as not run, and nothing else was sent.
+        this->has_claim = false;
+    }
+    this->refuse(status_unavailable, "not_run", "no worker can take the request");
+}
+
+void request_flow::log_decision(const request::decision& made) const
+{
+    std::string candidates;
+    for (const request::candidate& each : made.candidates) {
+        candidates += fmt::format("{}{}:{}", candidates.empty() ? "" : ";", each.worker,
+                                  each.skipped == request::skip_reason::none
+                                      ? fmt::format("{:.1f}ms", each.score_ms)
+                                      : std::string(request::to_string(each.skipped)));
+    }
+    spdlog::info("event=routing_decision account={} service={} try={} chosen={} data_centre={} "
+                 "candidates=\"{}\"",
+                 this->asked.account, this->asked.service.name, this->tries + 1,
+                 made.chosen.has_value() ? made.chosen->worker : "none",
+                 made.chosen.has_value() ? made.chosen->data_centre : "none", candidates);
+}
+
+void request_flow::begin_claim()
+{
+    request::begin_claim begin;
+    begin.account = this->asked.account;
+    begin.key = this->asked.key;
+    begin.payload_digest = digest::content_hash(
+        fmt::format("{}\n{}", this->asked.service.name, this->asked.body));
+    begin.attempt = this->current.attempt;
+    begin.worker = this->current.choice.worker;
+    begin.incarnation = this->current.choice.incarnation;
+    const std::shared_ptr<request_flow> self = this->shared_from_this();
+    const steady_time patience =
+        std::min(this->asked.deadline, std::chrono::steady_clock::now() + claim_patience);
+    this->owner.control.call(
+        messages::kind::claim, request::pack_command(begin), patience,
+        [self](const absl::StatusOr<std::string>& body) { self->on_claim(body); });
+}
+
+void request_flow::reassign_claim(std::uint64_t former)
+{
+    request::reassign_claim move;
+    move.former_attempt = former;
+    move.attempt = this->current.attempt;
+    move.worker = this->current.choice.worker;
+    move.incarnation = this->current.choice.incarnation;
+    const std::shared_ptr<request_flow> self = this->shared_from_this();
+    this->owner.control.call(
+        messages::kind::claim, request::pack_command(move), this->asked.deadline,
+        [self](const absl::StatusOr<std::string>& body) { self->on_claim(body); });
+}
+
+void request_flow::on_claim(const absl::StatusOr<std::string>& body)
+{
+    using verdict = request::claim_verdict;
+    const absl::StatusOr<messages::claim_reply> reply_message = read_claim(body);
+    if (!reply_message.ok()) {
+        // Nothing is sent without a claim, so nothing ran.
+        this->refuse(status_unavailable, "not_run", "the claim could not be recorded in time");
+        return;
+    }
+    const messages::claim_reply& result = *reply_message;
+    switch (result.verdict) {
+    case verdict::granted:
+        this->has_claim = true;
+        this->send();
+        return;
+    case verdict::in_progress:
+        this->follow(result.attempt, result.worker, result.incarnation);
+        return;
+    case verdict::answered:
+        if (result.recorded.empty() || !result.body_kept) {
+            this->refuse(status_gone, "done", "the work ran; its answer was too large to keep");
+            return;
+        }
+        this->answer_caller(result.recorded.front());
+        return;
+    case verdict::conflict:
+        this->refuse(status_key_reused, "not_run", "the key was used with another request");
+        return;
+    case verdict::unknown:
+        this->refuse(status_timeout, "unknown", "an earlier attempt with this key may have run");
+        return;
+    case verdict::expired:
+        this->refuse(status_gone, "unknown", "the key is older than the records that are kept");
+        return;
+    case verdict::issued_in_future:
+    case verdict::malformed_key:
+        this->refuse(400, "not_run", "Idempotency-Key: allowed <unix seconds>-<rest>, not in the "
+                                     "future");
+        return;
+    case verdict::worker_gone:
+    case verdict::attempt_in_use:
+        this->excluded.push_back(this->current.choice.worker);
+        this->next_attempt();
+        return;
+    case verdict::stale:
+        // Another entry has moved the claim; begin tells where it stands now.
+        this->has_claim = false;
+        this->begin_claim();
+        return;
+    case verdict::full:
+        this->refuse(status_unavailable, "not_run", "too many claims are recorded");
+        return;
+    default:
+        this->refuse(status_conflict, "unknown",
+                     fmt::format("claim: {}", request::to_string(result.verdict)));
+    }
+}
+
+void request_flow::send()
+{
+    wire::rpc_client* const agent = this->owner.agent_client(this->current.choice.worker);
+    const steady_time now = std::chrono::steady_clock::now();
+    this->current.sent_at = now;
+    this->owner.router.sent(this->current.choice);
+    if (agent == nullptr || now >= this->asked.deadline) {
+        this->on_lost(request::end_cause::not_sent, "the deadline passed before the send");
+        return;
+    }
+    messages::execute of;
+    of.attempt = this->current.attempt;
+    of.account = this->asked.account;
+    of.service = this->asked.service.name;
+    of.priority = static_cast<request::request_class>(this->asked.service.request_class);
+    of.account_weight = this->asked.account_weight;
+    const milliseconds left = remaining_until(this->asked.deadline, now);
+    of.deadline_ms =
+        static_cast<std::uint64_t>(std::max(left - way_back, milliseconds(1)).count());
+    of.idempotent = !this->claimed();
+    of.claim_incarnation = this->claimed() ? this->current.choice.incarnation : 0;
+    of.content_type = this->asked.content_type;
+    of.body = this->asked.body;
+    const std::shared_ptr<request_flow> self = this->shared_from_this();
+    kernel::control_loop& loop = this->owner.loop;
+    agent->call(static_cast<std::uint16_t>(messages::kind::execute), pack(of),
+                this->asked.deadline, [self, &loop](absl::StatusOr<std::string> body) {
+                    loop.post([self, body = std::move(body)] { self->on_answer(body); });
+                });
+}
+
+void request_flow::on_answer(const absl::StatusOr<std::string>& body)
+{
+    if (!body.ok()) {
+        const std::optional<wire::wire_errc> code = error_code<wire::wire_errc>(body.status());
+        request::end_cause cause = request::end_cause::lost_after_send;
+        if (code == wire::wire_errc::not_sent) {
+            cause = request::end_cause::not_sent;
+        }
+        else if (code == wire::wire_errc::deadline_exceeded) {
+            cause = request::end_cause::deadline;
+        }
+        this->on_lost(cause, errors::message_of(body.status()));
+        return;
+    }
+    absl::StatusOr<messages::execute_answer> received = unpack<messages::execute_answer>(*body);
+    if (!received.ok()) {
+        this->on_lost(request::end_cause::truncated, errors::message_of(received.status()));
+        return;
+    }
+    const absl::Status whole = request::check_answer(received->answer, this->current.attempt);
+    if (!whole.ok()) {
+        this->owner.metrics.add("redwingwheel_answers_dropped_total");
+        this->on_lost(request::end_cause::truncated, errors::message_of(whole));
+        return;
+    }
+    this->note_outcome(received->answer.outcome, &received->load);
+    this->conclude(std::move(received->answer), received->refused
+                                                    ? request::end_cause::refused
+                                                    : request::end_cause::failed);
+}
+
+void request_flow::note_outcome(request::outcome_kind outcome, const request::load_report* load)
+{
+    request::answer_observation seen;
+    seen.outcome = outcome;
+    seen.latency = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() -
+                                                            this->current.sent_at);
+    if (load != nullptr) {
+        seen.load = *load;
+    }
+    this->owner.router.answered(this->current.choice, seen);
+}
+
+void request_flow::on_lost(request::end_cause cause, std::string_view detail)
+{
+    const request::outcome_kind outcome =
+        request::outcome_of_end(cause, this->asked.service.idempotent);
+    spdlog::warn("event=attempt_lost attempt={:016x} worker={} cause={} outcome={} detail=\"{}\"",
+                 this->current.attempt, this->current.choice.worker, request::to_string(cause),
+                 request::to_string(outcome), detail);
+    this->note_outcome(outcome, nullptr);
+    if (this->claimed() && outcome != request::outcome_kind::not_run) {
+        this->follow(this->current.attempt, this->current.choice.worker,
+                     this->current.choice.incarnation);
+        return;
+    }
+    this->conclude(request::make_bodyless_answer(this->current.attempt, outcome, detail), cause);
+}
+
+void request_flow::conclude(request::answer answer, request::end_cause cause)
+{
+    using outcome = request::outcome_kind;
+    if (answer.outcome == outcome::done) {
+        this->owner.retries.note_latency(
+            this->asked.service.name,
+            std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() -
+                                                     this->begun_at));
+        this->record_and_answer(answer);
+        return;
+    }
+    if (this->claimed() && answer.outcome == outcome::unknown) {
+        this->follow(this->current.attempt, this->current.choice.worker,
+                     this->current.choice.incarnation);
+        return;
+    }
+    if (this->claimed() && answer.outcome == outcome::not_run) {
+        // A retry moves the claim, which needs the record that the former attempt did not run.
+        request::abandon_claim abandon;
+        abandon.attempt = this->current.attempt;
+        const std::shared_ptr<request_flow> self = this->shared_from_this();
+        this->owner.control.call(
+            messages::kind::claim, request::pack_command(abandon),
+            std::chrono::steady_clock::now() + record_patience,
+            [self, answer = std::move(answer), cause](const absl::StatusOr<std::string>& body) {
+                if (!read_claim(body).ok()) {
+                    self->refuse(status_unavailable, "not_run", answer.detail);
+                    return;
+                }
+                self->retry_or_give_up(answer, cause);
+            });
+        return;
+    }
+    this->retry_or_give_up(std::move(answer), cause);
+}
+
+void request_flow::retry_or_give_up(request::answer answer, request::end_cause cause)
+{
+    request::retry_question question;
+    question.service = this->asked.service.name;
+    question.outcome = answer.outcome;
+    question.cause = cause;
+    question.idempotent = this->asked.service.idempotent;
+    question.tries_so_far = this->tries;
+    question.deadline = this->asked.deadline;
+    const request::retry_verdict verdict = this->owner.retries.may_retry(question);
+    if (verdict == request::retry_verdict::retry) {
+        this->owner.metrics.add("redwingwheel_retries_total");
+        this->excluded.push_back(this->current.choice.worker);
+        this->next_attempt();
+        return;
+    }
+    if (answer.outcome == request::outcome_kind::not_run) {
+        this->refuse(status_unavailable, "not_run", answer.detail);
+        return;
+    }
+    this->record_and_answer(answer);
+}
+
+void request_flow::follow(std::uint64_t attempt, const std::string& worker,
+                          std::uint64_t incarnation)
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    if (now >= this->asked.deadline) {
+        this->refuse(status_timeout, "unknown",
+                     "the work may still run; send the request again with the same key");
+        return;
+    }
+    wire::rpc_client* const agent = this->owner.agent_client(worker);
+    const std::shared_ptr<request_flow> self = this->shared_from_this();
+    if (agent == nullptr) {
+        this->owner.loop.run_at(now + fetch_period, [self, attempt, worker, incarnation] {
+            self->follow(attempt, worker, incarnation);
+        });
+        return;
+    }
+    kernel::control_loop& loop = this->owner.loop;
+    agent->call(static_cast<std::uint16_t>(messages::kind::fetch_answer),
+                pack(messages::fetch_answer{attempt, incarnation}),
+                std::min(this->asked.deadline, now + fetch_patience),
+                [self, &loop, attempt, worker, incarnation](absl::StatusOr<std::string> body) {
+                    loop.post([self, attempt, worker, incarnation, body = std::move(body)] {
+                        self->on_fetched(attempt, worker, incarnation, body);
+                    });
+                });
+}
+
+void request_flow::on_fetched(std::uint64_t attempt, const std::string& worker,
+                              std::uint64_t incarnation, const absl::StatusOr<std::string>& body)
+{
+    using state = messages::fetched_answer::state;
+    const absl::StatusOr<messages::fetched_answer> fetched =
+        body.ok() ? unpack<messages::fetched_answer>(*body)
+                  : absl::StatusOr<messages::fetched_answer>(body.status());
+    if (!fetched.ok() || fetched->at == state::running) {
+        const std::shared_ptr<request_flow> self = this->shared_from_this();
+        this->owner.loop.run_at(std::chrono::steady_clock::now() + fetch_period,
+                                [self, attempt, worker, incarnation] {
+                                    self->follow(attempt, worker, incarnation);
+                                });
+        return;
+    }
+    if (fetched->at == state::never_seen) {
+        this->on_never_seen(attempt, worker, incarnation);
+        return;
+    }
+    this->current.attempt = attempt;
+    if (fetched->at == state::finished &&
+        request::check_answer(fetched->answer, attempt).ok()) {
+        if (fetched->answer.outcome == request::outcome_kind::not_run) {
+            this->has_claim = true;
+            this->conclude(fetched->answer, request::end_cause::refused);
+            return;
+        }
+        this->record_and_answer(fetched->answer);
+        return;
+    }
+    this->record_and_answer(request::make_bodyless_answer(
+        attempt, request::outcome_kind::unknown, "the worker that ran it has restarted"));
+}
+
+void request_flow::on_never_seen(std::uint64_t attempt, const std::string& worker,
+                                 std::uint64_t incarnation)
+{
+    const steady_time now = std::chrono::steady_clock::now();
+    if (!this->never_seen_since.has_value()) {
+        this->never_seen_since = now;
+    }
+    if (now >= *this->never_seen_since + arrival_patience) {
+        this->bar(attempt, worker, incarnation);
+        return;
+    }
+    const std::shared_ptr<request_flow> self = this->shared_from_this();
+    this->owner.loop.run_at(now + fetch_period, [self, attempt, worker, incarnation] {
+        self->follow(attempt, worker, incarnation);
+    });
+}
+
+void request_flow::bar(std::uint64_t attempt, const std::string& worker, std::uint64_t incarnation)
+{
+    // The attempt has not arrived. Once the agent has barred it, it can never start there.
+    wire::rpc_client* const agent = this->owner.agent_client(worker);
+    if (agent == nullptr) {
+        this->follow(attempt, worker, incarnation);
+        return;
+    }
+    const std::shared_ptr<request_flow> self = this->shared_from_this();
+    kernel::control_loop& loop = this->owner.loop;
+    agent->call(static_cast<std::uint16_t>(messages::kind::cancel_attempt),
+                pack(messages::cancel_attempt{attempt, true}),
+                std::chrono::steady_clock::now() + fetch_patience,
+                [self, &loop, attempt, worker, incarnation](absl::StatusOr<std::string> body) {
+                    loop.post([self, attempt, worker, incarnation, body = std::move(body)] {
+                        const absl::StatusOr<messages::cancel_answer> answer =
+                            body.ok() ? unpack<messages::cancel_answer>(*body)
+                                      : absl::StatusOr<messages::cancel_answer>(body.status());
+                        const bool barred = answer.ok() && answer->never_runs &&
+                                            answer->incarnation == incarnation;
+                        if (!barred) {
+                            self->follow(attempt, worker, incarnation);
+                            return;
+                        }
+                        self->current.attempt = attempt;
+                        self->has_claim = true;
+                        self->conclude(request::make_bodyless_answer(
+                                           attempt, request::outcome_kind::not_run,
+                                           "the attempt did not reach its worker"),
+                                       request::end_cause::not_sent);
+                    });
+                });
+}
+
+void request_flow::record_and_answer(const request::answer& answer)
+{
+    if (!this->claimed()) {
+        this->answer_caller(answer);
+        return;
+    }
+    request::finish_claim finish;
+    finish.attempt = answer.attempt;
+    finish.given = answer;
+    const std::shared_ptr<request_flow> self = this->shared_from_this();
+    this->owner.control.call(
+        messages::kind::claim, request::pack_command(finish),
+        std::chrono::steady_clock::now() + record_patience,
+        [self, answer](const absl::StatusOr<std::string>& body) {
+            const absl::StatusOr<messages::claim_reply> recorded = read_claim(body);
+            if (!recorded.ok()) {
+                self->refuse(status_timeout, "unknown",
+                             "the answer could not be recorded; send the request again with the "
+                             "same key");
+                return;
+            }
+            if (recorded->verdict == request::claim_verdict::answered &&
+                !recorded->recorded.empty() && recorded->body_kept) {
+                self->answer_caller(recorded->recorded.front());
+                return;
+            }
+            self->answer_caller(answer);
+        });
+}
+
+void request_flow::answer_caller(const request::answer& answer)
+{
+    using outcome = request::outcome_kind;
+    if (answer.outcome == outcome::unknown) {
+        this->refuse(status_timeout, "unknown", answer.detail);
+        return;
+    }
+    if (answer.outcome == outcome::not_run) {
+        this->refuse(status_unavailable, "not_run", answer.detail);
+        return;
+    }
+    if (answer.http_status == 0) {
+        this->refuse(status_bad_gateway, request::to_string(answer.outcome), answer.detail);
+        return;
+    }
+    http::server_response response;
+    response.status = answer.http_status;
+    response.content_type = answer.content_type.empty() ? "application/octet-stream"
+                                                        : answer.content_type;
+    response.body = answer.body;
+    response.headers = {{"X-Attempt", fmt::format("{:016x}", answer.attempt)},
+                        {"X-Worker", this->current.choice.worker}};
+    this->respond(response, request::to_string(answer.outcome));
+}
+
+void request_flow::refuse(int status, std::string_view outcome, std::string_view reason)
+{
+    http::server_response response;
+    response.status = status;
+    response.body = json{{"outcome", outcome}, {"reason", reason}}.dump();
+    this->respond(response, outcome);
+}
+
+void request_flow::respond(const http::server_response& response, std::string_view outcome)
+{
+    if (this->done) {
+        return;
+    }
+    this->done = true;
+    http::server_response whole = response;
+    whole.headers.emplace("X-Outcome", outcome);
+    const bool delivered = this->reply(whole);
+    const double took = std::chrono::duration<double, std::milli>(
+                            std::chrono::steady_clock::now() - this->begun_at)
+                            .count();
+    const std::string_view priority = config::to_text(this->asked.service.request_class);
+    this->owner.metrics.add("redwingwheel_requests_total",
+                            fmt::format("class=\"{}\",outcome=\"{}\"", priority, outcome));
+    this->owner.metrics.observe("redwingwheel_request_ms", fmt::format("class=\"{}\"", priority),
+                                took);
+    spdlog::info("event=request_ended account={} service={} outcome={} status={} tries={} "
+                 "took_ms={:.2f} delivered={}",
+                 this->asked.account, this->asked.service.name, outcome, whole.status, this->tries,
+                 took, delivered);
+    this->owner.end_flow(this);
+}
+
+} // namespace redwingwheel::entry
--- /dev/null
+++ b/src/libmetrics/metrics_test.cpp
@@ -0,0 +1,23 @@
+#include "redwingwheel/metrics.h"
+
+#include <catch2/catch.hpp>
+
+// Guards against a page that a scraper cannot read, and against quantiles far from the samples.
+TEST_CASE("the page shows counters, gauges and summaries", "[metrics]")
+{
+    redwingwheel::metrics::registry metrics;
+    metrics.add("requests_total", "outcome=\"done\"", 2);
+    metrics.set("revision", "", 7);
+    for (int value = 1; value <= 1000; ++value) {
+        metrics.observe("latency_ms", "class=\"batch\"", value);
+    }
+    const std::string page = metrics.render();
+    REQUIRE(page.find("# TYPE requests_total counter\nrequests_total{outcome=\"done\"} 2\n") !=
+            std::string::npos);
+    REQUIRE(page.find("revision 7\n") != std::string::npos);
+    REQUIRE(page.find("latency_ms_count{class=\"batch\"} 1000\n") != std::string::npos);
+    const std::string label = "latency_ms{class=\"batch\",quantile=\"0.5\"} ";
+    const std::size_t at = page.find(label);
+    REQUIRE(at != std::string::npos);
+    REQUIRE(std::stod(page.substr(at + label.size())) == Approx(500).epsilon(0.05));
+}
--- /dev/null
+++ b/src/redwingwheeld/daemon.cpp
@@ -0,0 +1,50 @@
+#include "daemon.h"
+
+#include "redwingwheel/agent_service.h"
+#include "redwingwheel/control_service.h"
+#include "redwingwheel/entry_service.h"
+
+namespace redwingwheel::daemon {
+
+process::process(const config::settings& chosen, std::string_view secret)
+    : settings(chosen), client(http::client_options())
+{
+    this->add_services(secret);
+}
+
+process::~process()
+{
+    this->loop.stop();
+    this->traffic.stop();
+}
+
+void process::add_services(std::string_view secret)
+{
+    // The order of the start; a stop runs in reverse, so that entries stop taking work first.
+    if (this->settings.roles.control) {
+        this->services.add(std::make_unique<control::control_service>(
+            this->settings, secret, this->loop, this->traffic));
+    }
+    if (this->settings.roles.agent) {
+        this->services.add(std::make_unique<agent::agent_service>(
+            this->settings, secret, this->loop, this->traffic, this->client));
+    }
+    if (this->settings.roles.entry) {
+        this->services.add(std::make_unique<entry::entry_service>(
+            this->settings, secret, this->loop, this->traffic, this->metrics));
+    }
+}
+
+absl::Status process::start()
+{
+    this->loop.start();
+    this->traffic.start();
+    return this->services.start();
+}
+
+void process::drain_and_stop()
+{
+    this->services.drain_and_stop(std::chrono::steady_clock::now() + this->settings.timing.drain);
+}
+
+} // namespace redwingwheel::daemon
