Add the replica and the storage in segment files

Ruled out: one record per batch, because a truncation inside a batch would have to rewrite entries that may be committed. A record per entry carries the first index of its batch instead, which tells a torn batch (cut) from damage to synced records (refused). Syncing the newest segment again at start was ruled out too: after a failed write-back the page cache may hold data that a later sync reports as durable, so the segment is rewritten to a new file.

--- a/src/include/redwingwheel/replication.h
+++ b/src/include/redwingwheel/replication.h
@@ -37,8 +37,8 @@
     std::uint64_t trailing_entries = 2'000;
     /// Payload bytes in one append message; frames are limited to 4 MiB.
     std::size_t max_append_bytes = 512 * 1024;
-    /// Payload bytes sent to a follower ahead of its answers.
-    std::size_t max_in_flight_bytes = 2 * 1024 * 1024;
+    /// Append messages with entries sent to a follower ahead of its answers.
+    std::size_t max_in_flight_messages = 4;
     std::size_t max_snapshot_chunk_bytes = 512 * 1024;
     std::size_t max_command_bytes = 1024 * 1024;
     /// Proposals waiting or uncommitted before `busy`.
--- a/src/include/redwingwheel/replication_types.h
+++ b/src/include/redwingwheel/replication_types.h
@@ -19,7 +19,11 @@
 struct strong_number {
     std::uint64_t value = 0;
 
-    friend std::strong_ordering operator<=>(const strong_number&, const strong_number&) = default;
+    friend bool operator==(const strong_number&, const strong_number&) = default;
+    friend std::strong_ordering operator<=>(const strong_number& left, const strong_number& right)
+    {
+        return left.value <=> right.value;
+    }
     friend strong_number operator+(strong_number left, std::uint64_t right)
     {
         return {left.value + right};
--- /dev/null
+++ b/src/libreplication/file_log_storage.cpp
@@ -0,0 +1,416 @@
+#include "redwingwheel/file_log_storage.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "record.h"
+
+namespace redwingwheel::replication {
+
+namespace {
+
+constexpr std::string_view identity_name = "identity";
+constexpr std::string_view vote_name = "vote";
+constexpr std::string_view snapshot_name = "snapshot";
+constexpr std::string_view segment_prefix = "log-";
+constexpr std::string_view segment_suffix = ".seg";
+constexpr std::string_view unfinished_suffix = ".tmp";
+
+/// What a log record holds. All records of one append carry the index of its first entry, which
+/// tells a batch torn by a crash from damage to synced records.
+struct log_record {
+    log_index batch_first;
+    log_entry entry;
+    MSGPACK_DEFINE(batch_first, entry)
+};
+
+std::string segment_name(log_index first)
+{
+    return fmt::format("{}{:020}{}", segment_prefix, first.value, segment_suffix);
+}
+
+bool is_segment(std::string_view name)
+{
+    return name.starts_with(segment_prefix) && name.ends_with(segment_suffix);
+}
+
+absl::Status corrupt(std::string_view name, std::size_t offset, std::string_view what)
+{
+    return make_error(replication_errc::corrupt,
+                      fmt::format("{} offset {}: {}", name, offset, what));
+}
+
+absl::Status from_file_error(const absl::Status& status)
+{
+    if (status.ok() || error_code<replication_errc>(status).has_value()) {
+        return status;
+    }
+    const bool full = error_code<file_errc>(status) == file_errc::no_space;
+    return translate_error(full ? replication_errc::disk_full : replication_errc::sync_failed,
+                           status);
+}
+
+template <class Value>
+std::string pack_file(const Value& value)
+{
+    std::string bytes;
+    append_record(bytes, pack(value));
+    return bytes;
+}
+
+/// Reads a file that holds exactly one record.
+template <class Value>
+absl::StatusOr<Value> read_file(file_system& files, std::string_view name)
+{
+    const absl::StatusOr<std::string> bytes = files.read(name);
+    if (!bytes.ok()) {
+        return from_file_error(bytes.status());
+    }
+    const std::optional<record_view> record = read_record(*bytes, 0);
+    if (!record.has_value() || record->size != bytes->size()) {
+        return corrupt(name, 0, "damaged record");
+    }
+    absl::StatusOr<Value> value = unpack<Value>(record->body);
+    if (!value.ok()) {
+        return corrupt(name, 0, errors::message_of(value.status()));
+    }
+    return value;
+}
+
+/// True when a whole record behind `offset` belongs to a batch that began after entry `expected`:
+/// the damage at `offset` was then synced before.
+bool has_later_batch(std::string_view bytes, std::size_t offset, log_index expected)
+{
+    std::optional<std::size_t> next = find_record(bytes, offset);
+    while (next.has_value()) {
+        const std::optional<record_view> record = read_record(bytes, *next);
+        const absl::StatusOr<log_record> parsed = unpack<log_record>(record->body);
+        if (!parsed.ok() || parsed->batch_first > expected) {
+            return true;
+        }
+        next = find_record(bytes, *next + record->size);
+    }
+    return false;
+}
+
+} // namespace
+
+file_log_storage::file_log_storage(file_system& folder,
+                                   std::function<std::uint64_t()> draw_identity,
+                                   file_log_options chosen)
+    : files(folder), draw(std::move(draw_identity)), options(chosen)
+{
+}
+
+absl::Status file_log_storage::record(const absl::Status& status)
+{
+    if (this->failure.ok() && !status.ok()) {
+        this->failure = from_file_error(status);
+    }
+    return this->failure;
+}
+
+absl::Status file_log_storage::sync_file(std::string_view name)
+{
+    return this->options.skip_sync ? absl::OkStatus() : this->files.sync(name);
+}
+
+absl::Status file_log_storage::sync_folder()
+{
+    return this->options.skip_sync ? absl::OkStatus() : this->files.sync_directory();
+}
+
+absl::Status file_log_storage::replace_file(std::string_view name, std::string_view bytes)
+{
+    const std::string unfinished = fmt::format("{}{}", name, unfinished_suffix);
+    absl::Status status = this->files.write(unfinished, bytes);
+    if (status.ok()) {
+        status = this->sync_file(unfinished);
+    }
+    if (status.ok()) {
+        status = this->files.rename(unfinished, name);
+    }
+    if (status.ok()) {
+        status = this->sync_folder();
+    }
+    return status;
+}
+
+absl::StatusOr<recovered_state> file_log_storage::open()
+{
+    recovered_state state;
+    absl::Status status = this->files.prepare();
+    if (!status.ok()) {
+        return this->record(status);
+    }
+    const absl::StatusOr<std::vector<std::string>> names = this->files.list();
+    if (!names.ok()) {
+        return this->record(names.status());
+    }
+    for (const std::string& name : *names) {
+        if (status.ok() && name.ends_with(unfinished_suffix)) {
+            status = from_file_error(this->files.remove(name));
+        }
+    }
+    if (status.ok()) {
+        status = this->open_identity(state, *names);
+    }
+    for (const std::string& name : *names) {
+        if (status.ok() && name == vote_name) {
+            const absl::StatusOr<vote_record> vote = read_file<vote_record>(this->files, name);
+            status = vote.status();
+            state.vote = vote.ok() ? *vote : vote_record();
+        }
+        else if (status.ok() && name == snapshot_name) {
+            absl::StatusOr<snapshot> saved = this->read_snapshot();
+            status = saved.status();
+            if (saved.ok()) {
+                state.last_snapshot = std::move(*saved);
+            }
+        }
+    }
+    const auto newest = std::find_if(names->rbegin(), names->rend(), is_segment);
+    for (const std::string& name : *names) {
+        if (status.ok() && is_segment(name)) {
+            status = this->read_segment(name, name == *newest, state);
+        }
+    }
+    if (status.ok()) {
+        status = this->rewrite_newest_segment();
+    }
+    if (status.ok()) {
+        status = this->check_continuity(state);
+    }
+    if (!status.ok()) {
+        this->failure = status;
+        return status;
+    }
+    return state;
+}
+
+absl::Status file_log_storage::open_identity(recovered_state& state,
+                                             const std::vector<std::string>& names)
+{
+    if (std::find(names.begin(), names.end(), identity_name) != names.end()) {
+        const absl::StatusOr<replica_id> read = read_file<replica_id>(this->files, identity_name);
+        state.identity = read.ok() ? *read : replica_id();
+        return read.status();
+    }
+    for (const std::string& name : names) {
+        if (name == vote_name || name == snapshot_name || is_segment(name)) {
+            return corrupt(identity_name, 0, fmt::format("missing beside {}", name));
+        }
+    }
+    while (state.identity == replica_id()) {
+        state.identity = {this->draw()};
+    }
+    return from_file_error(this->replace_file(identity_name, pack_file(state.identity)));
+}
+
+absl::Status file_log_storage::read_segment(const std::string& name, bool newest,
+                                            recovered_state& state)
+{
+    const absl::StatusOr<std::string> bytes = this->files.read(name);
+    if (!bytes.ok()) {
+        return from_file_error(bytes.status());
+    }
+    segment read{name, {}, {}, 0};
+    std::uint64_t first = 0;
+    for (const char digit : name.substr(segment_prefix.size(), 20)) {
+        first = first * 10 + static_cast<std::uint64_t>(digit - '0');
+    }
+    read.first = {first};
+    if (name != segment_name(read.first)) {
+        return corrupt(name, 0, "malformed segment name");
+    }
+    while (read.size < bytes->size()) {
+        const log_index expected = read.first + read.offsets.size();
+        const std::optional<record_view> record = read_record(*bytes, read.size);
+        if (!record.has_value()) {
+            if (!newest || has_later_batch(*bytes, read.size, expected)) {
+                return corrupt(name, read.size, "damaged record before whole ones");
+            }
+            state.cut_bytes = bytes->size() - read.size;
+            break;
+        }
+        absl::StatusOr<log_record> parsed = unpack<log_record>(record->body);
+        if (!parsed.ok()) {
+            return corrupt(name, read.size, errors::message_of(parsed.status()));
+        }
+        const bool follows = state.entries.empty() || expected == state.entries.back().index + 1;
+        if (parsed->entry.index != expected || !follows) {
+            return corrupt(
+                name, read.size,
+                fmt::format("entry {} where {} is due", parsed->entry.index.value,
+                            follows ? expected.value : state.entries.back().index.value + 1));
+        }
+        state.entries.push_back(std::move(parsed->entry));
+        read.offsets.push_back(read.size);
+        read.size += record->size;
+    }
+    this->segments.push_back(std::move(read));
+    return absl::OkStatus();
+}
+
+/// Writes the whole records of the newest segment to a new file. What was read may exist only in
+/// the page cache, either unsynced or marked clean by a sync that failed, so that a sync of the
+/// same file proves nothing.
+absl::Status file_log_storage::rewrite_newest_segment()
+{
+    if (this->segments.empty()) {
+        return from_file_error(this->sync_folder());
+    }
+    segment& newest = this->segments.back();
+    if (newest.offsets.empty()) {
+        return from_file_error(this->remove_segment(this->segments.size() - 1));
+    }
+    const absl::StatusOr<std::string> bytes = this->files.read(newest.name);
+    if (!bytes.ok()) {
+        return from_file_error(bytes.status());
+    }
+    return from_file_error(
+        this->replace_file(newest.name, std::string_view(*bytes).substr(0, newest.size)));
+}
+
+/// Checks that log and snapshot fit together. A log that does not contain the end of the snapshot
+/// is what an installation that a crash interrupted leaves; it is dropped.
+absl::Status file_log_storage::check_continuity(recovered_state& state)
+{
+    if (state.entries.empty()) {
+        return absl::OkStatus();
+    }
+    const log_position last =
+        state.last_snapshot.has_value() ? state.last_snapshot->last : log_position();
+    const log_index first = state.entries.front().index;
+    if (first > last.index + 1) {
+        return corrupt(
+            this->segments.front().name, 0,
+            fmt::format("entries {} to {} are missing", last.index.value + 1, first.value - 1));
+    }
+    if (first == last.index + 1) {
+        return absl::OkStatus();
+    }
+    const std::uint64_t place = last.index.value - first.value;
+    if (place < state.entries.size() && state.entries[place].term == last.term) {
+        return absl::OkStatus();
+    }
+    state.entries.clear();
+    return from_file_error(this->cut_log({0}));
+}
+
+absl::Status file_log_storage::remove_segment(std::size_t position)
+{
+    const absl::Status status = this->files.remove(this->segments[position].name);
+    if (!status.ok()) {
+        return status;
+    }
+    this->segments.erase(this->segments.begin() + static_cast<std::ptrdiff_t>(position));
+    // Removals that become durable out of order would leave a gap.
+    return this->sync_folder();
+}
+
+absl::Status file_log_storage::append(std::span<const log_entry> entries)
+{
+    if (!this->failure.ok() || entries.empty()) {
+        return this->failure;
+    }
+    return this->record(this->write_batch(entries));
+}
+
+absl::Status file_log_storage::write_batch(std::span<const log_entry> entries)
+{
+    const log_index first = entries.front().index;
+    const bool new_segment =
+        this->segments.empty() || this->segments.back().size >= this->options.segment_bytes;
+    if (new_segment) {
+        this->segments.push_back({segment_name(first), first, {}, 0});
+    }
+    segment& newest = this->segments.back();
+    if (first != newest.first + newest.offsets.size()) {
+        return make_error(replication_errc::invalid_state,
+                          fmt::format("append at {} to {}", first.value, newest.name));
+    }
+    std::string bytes;
+    std::vector<std::uint64_t> offsets;
+    for (const log_entry& entry : entries) {
+        offsets.push_back(newest.size + bytes.size());
+        append_record(bytes, pack(log_record{first, entry}));
+    }
+    absl::Status status = this->files.append(newest.name, bytes);
+    if (status.ok()) {
+        status = this->sync_file(newest.name);
+    }
+    if (status.ok() && new_segment) {
+        status = this->sync_folder();
+    }
+    newest.offsets.insert(newest.offsets.end(), offsets.begin(), offsets.end());
+    newest.size += bytes.size();
+    return status;
+}
+
+absl::Status file_log_storage::truncate_from(log_index first)
+{
+    return this->failure.ok() ? this->record(this->cut_log(first)) : this->failure;
+}
+
+absl::Status file_log_storage::cut_log(log_index first)
+{
+    while (!this->segments.empty() && this->segments.back().first >= first) {
+        const absl::Status status = this->remove_segment(this->segments.size() - 1);
+        if (!status.ok()) {
+            return status;
+        }
+    }
+    if (this->segments.empty()) {
+        return absl::OkStatus();
+    }
+    segment& newest = this->segments.back();
+    const std::uint64_t kept = first.value - newest.first.value;
+    if (kept >= newest.offsets.size()) {
+        return absl::OkStatus();
+    }
+    newest.size = newest.offsets[kept];
+    newest.offsets.resize(kept);
+    const absl::Status status = this->files.truncate(newest.name, newest.size);
+    return status.ok() ? this->sync_file(newest.name) : status;
+}
+
+absl::Status file_log_storage::save_vote(const vote_record& vote)
+{
+    if (!this->failure.ok()) {
+        return this->failure;
+    }
+    return this->record(this->replace_file(vote_name, pack_file(vote)));
+}
+
+absl::Status file_log_storage::save_snapshot(const snapshot& saved, log_index keep_from)
+{
+    if (!this->failure.ok()) {
+        return this->failure;
+    }
+    absl::Status status = this->replace_file(snapshot_name, pack_file(saved));
+    while (status.ok() && this->segments.size() > 1 && this->segments[1].first <= keep_from) {
+        status = this->remove_segment(0);
+    }
+    return this->record(status);
+}
+
+absl::Status file_log_storage::install_snapshot(const snapshot& received)
+{
+    if (!this->failure.ok()) {
+        return this->failure;
+    }
+    absl::Status status = this->replace_file(snapshot_name, pack_file(received));
+    if (status.ok()) {
+        status = this->cut_log({0});
+    }
+    return this->record(status);
+}
+
+absl::StatusOr<snapshot> file_log_storage::read_snapshot()
+{
+    return read_file<snapshot>(this->files, snapshot_name);
+}
+
+} // namespace redwingwheel::replication
--- /dev/null
+++ b/src/libreplication/memory_log.cpp
@@ -0,0 +1,83 @@
+#include "memory_log.h"
+
+#include <cassert>
+
+namespace redwingwheel::replication {
+
+log_position memory_log::last() const
+{
+    if (this->entries.empty()) {
+        return this->before;
+    }
+    return {this->entries.back().index, this->entries.back().term};
+}
+
+std::optional<term_number> memory_log::term_at(log_index index) const
+{
+    if (index == this->before.index) {
+        return this->before.term;
+    }
+    if (index < this->before.index || index > this->last().index) {
+        return std::nullopt;
+    }
+    return this->at(index).term;
+}
+
+const log_entry& memory_log::at(log_index index) const
+{
+    assert(index > this->before.index && index <= this->last().index);
+    return this->entries[index.value - this->before.index.value - 1];
+}
+
+std::vector<log_entry> memory_log::slice(log_index first, std::size_t max_bytes) const
+{
+    std::vector<log_entry> taken;
+    std::size_t bytes = 0;
+    for (log_index next = first; next <= this->last().index; next = next + 1) {
+        const log_entry& entry = this->at(next);
+        bytes += entry.payload.size();
+        if (!taken.empty() && bytes > max_bytes) {
+            break;
+        }
+        taken.push_back(entry);
+    }
+    return taken;
+}
+
+log_index memory_log::first_of_term(log_index index) const
+{
+    const term_number term = this->at(index).term;
+    while (index > this->before.index + 1 && this->at(index - 1).term == term) {
+        index = index - 1;
+    }
+    return index;
+}
+
+void memory_log::append(log_entry entry)
+{
+    assert(entry.index == this->last().index + 1);
+    this->entries.push_back(std::move(entry));
+}
+
+void memory_log::truncate_from(log_index first)
+{
+    while (!this->entries.empty() && this->entries.back().index >= first) {
+        this->entries.pop_back();
+    }
+}
+
+void memory_log::drop_to(log_index index)
+{
+    while (!this->entries.empty() && this->entries.front().index <= index) {
+        this->before = {this->entries.front().index, this->entries.front().term};
+        this->entries.pop_front();
+    }
+}
+
+void memory_log::reset(log_position position)
+{
+    this->entries.clear();
+    this->before = position;
+}
+
+} // namespace redwingwheel::replication
--- /dev/null
+++ b/src/libreplication/record.cpp
@@ -0,0 +1,75 @@
+#include "record.h"
+
+#include "redwingwheel/digest.h"
+
+namespace redwingwheel::replication {
+
+namespace {
+
+constexpr std::string_view record_mark = "rwl1";
+constexpr std::size_t crc_offset = 4;
+constexpr std::size_t length_offset = 8;
+
+void append_number(std::string& out, std::uint32_t number)
+{
+    for (int shift = 0; shift < 32; shift += 8) {
+        out.push_back(static_cast<char>((number >> shift) & 0xFF));
+    }
+}
+
+std::uint32_t read_number(std::string_view bytes)
+{
+    std::uint32_t number = 0;
+    for (int place = 3; place >= 0; --place) {
+        number = (number << 8) | static_cast<unsigned char>(bytes[static_cast<std::size_t>(place)]);
+    }
+    return number;
+}
+
+} // namespace
+
+void append_record(std::string& out, std::string_view body)
+{
+    const std::size_t start = out.size();
+    out.append(record_mark);
+    append_number(out, 0);
+    append_number(out, static_cast<std::uint32_t>(body.size()));
+    out.append(body);
+    std::string crc;
+    append_number(crc, digest::crc32c(std::string_view(out).substr(start + length_offset)));
+    out.replace(start + crc_offset, crc.size(), crc);
+}
+
+std::optional<record_view> read_record(std::string_view bytes, std::size_t offset)
+{
+    if (offset > bytes.size() || bytes.size() - offset < record_header_bytes) {
+        return std::nullopt;
+    }
+    const std::string_view rest = bytes.substr(offset);
+    if (!rest.starts_with(record_mark)) {
+        return std::nullopt;
+    }
+    const std::size_t length = read_number(rest.substr(length_offset));
+    if (length > rest.size() - record_header_bytes) {
+        return std::nullopt;
+    }
+    const std::size_t size = record_header_bytes + length;
+    const std::string_view checked = rest.substr(length_offset, size - length_offset);
+    if (digest::crc32c(checked) != read_number(rest.substr(crc_offset))) {
+        return std::nullopt;
+    }
+    return record_view{rest.substr(record_header_bytes, length), size};
+}
+
+std::optional<std::size_t> find_record(std::string_view bytes, std::size_t offset)
+{
+    for (std::size_t next = bytes.find(record_mark, offset); next != std::string_view::npos;
+         next = bytes.find(record_mark, next + 1)) {
+        if (read_record(bytes, next).has_value()) {
+            return next;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace redwingwheel::replication
--- /dev/null
+++ b/src/libreplication/replica.cpp
@@ -0,0 +1,339 @@
+#include "redwingwheel/replication.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "replica_core.h"
+
+namespace redwingwheel::replication {
+
+std::string_view role_name(replica_role role)
+{
+    switch (role) {
+    case replica_role::follower:
+        return "follower";
+    case replica_role::pre_candidate:
+        return "pre_candidate";
+    case replica_role::candidate:
+        return "candidate";
+    case replica_role::leader:
+        return "leader";
+    case replica_role::stopped:
+        return "stopped";
+    }
+    return "unknown";
+}
+
+replica::core::core(replica_options chosen, log_storage& durable_storage, clock_function clock,
+                    replica_hooks callbacks)
+    : options(std::move(chosen)), storage(durable_storage), now(std::move(clock)),
+      hooks(std::move(callbacks))
+{
+}
+
+absl::Status replica::core::start()
+{
+    absl::StatusOr<recovered_state> state = this->storage.open();
+    if (!state.ok()) {
+        this->stop(state.status());
+        return state.status();
+    }
+    this->identity = state->identity;
+    this->vote = state->vote;
+    this->member_lists.push_back({});
+    this->restore_log(*state);
+    const log_position last = this->log.last();
+    if (last.term > this->vote.term) {
+        this->vote = {last.term, {}};
+    }
+    this->reset_election_deadline();
+    this->votes_barred_until = this->now();
+    if (this->has_state()) {
+        // A leader may rely on an answer that this replica gave before it restarted.
+        this->votes_barred_until += this->options.election_timeout;
+    }
+    if (this->quorum_size() == 1 && this->is_voter(this->identity)) {
+        this->election_deadline = this->now();
+    }
+    return absl::OkStatus();
+}
+
+void replica::core::restore_log(recovered_state& state)
+{
+    if (state.last_snapshot.has_value()) {
+        const snapshot& last = *state.last_snapshot;
+        this->snapshot_last = last.last;
+        this->commit = last.last.index;
+        this->applied = last.last.index;
+        this->log.reset(last.last);
+        this->member_lists = {{last.last.index, last.members}};
+        this->hooks.restore_snapshot(last);
+    }
+    if (state.entries.empty()) {
+        return;
+    }
+    const log_entry& first = state.entries.front();
+    if (first.index <= this->snapshot_last.index) {
+        // The term before the first entry is unknown, so the first entry serves as the base.
+        this->log.reset(first.index.value == 1 ? log_position()
+                                               : log_position{first.index, first.term});
+    }
+    for (log_entry& entry : state.entries) {
+        if (entry.index <= this->log.base().index) {
+            continue;
+        }
+        if (entry.index > this->snapshot_last.index) {
+            this->note_members(entry);
+        }
+        this->log.append(std::move(entry));
+    }
+}
+
+bool replica::core::has_state() const
+{
+    return this->vote != vote_record() || this->log.last().index.value > 0;
+}
+
+absl::Status replica::core::form(const std::vector<member>& founders)
+{
+    if (this->stopped() || this->has_state()) {
+        return make_error(replication_errc::invalid_state, "only an empty replica forms a group");
+    }
+    if (find_member(founders, this->identity) == nullptr) {
+        return make_error(replication_errc::invalid_state, "this replica is not among the members");
+    }
+    // Only the founder ever writes an entry of term 1: elections begin with term 2.
+    this->vote = {{1}, {}};
+    const log_entry first{{1}, {1}, entry_kind::membership, pack(founders)};
+    if (!this->store_entries({first})) {
+        return make_error(replication_errc::stopped, this->stopped_reason);
+    }
+    this->election_deadline = this->now();
+    return absl::OkStatus();
+}
+
+void replica::core::tick()
+{
+    if (this->stopped()) {
+        return;
+    }
+    this->flush();
+    if (this->role == replica_role::leader) {
+        this->resend_chunks();
+        const bool due = this->now() >= this->heartbeat_deadline;
+        if (due || this->announced_commit < this->commit) {
+            this->begin_round();
+            this->broadcast(true);
+        }
+    }
+    else if (!this->stopped() && this->is_voter(this->identity) &&
+             this->now() >= this->election_deadline) {
+        this->begin_pre_vote();
+    }
+}
+
+void replica::core::receive(replica_id from, const peer_message& message)
+{
+    if (this->stopped() || message.from != from || from == this->identity) {
+        return;
+    }
+    if (message.to != this->identity && !this->options.broken.vote_without_catching_up) {
+        return;
+    }
+    this->dispatch(message);
+}
+
+void replica::core::dispatch(const peer_message& message)
+{
+    switch (message.kind) {
+    case message_kind::pre_vote_request:
+        return this->on_pre_vote_request(message);
+    case message_kind::pre_vote_answer:
+        return this->on_vote_answer(message, replica_role::pre_candidate, this->vote.term + 1);
+    case message_kind::vote_request:
+        return this->on_vote_request(message);
+    case message_kind::vote_answer:
+        return this->on_vote_answer(message, replica_role::candidate, this->vote.term);
+    case message_kind::append_request:
+        return this->on_append_request(message);
+    case message_kind::append_answer:
+        return this->on_append_answer(message);
+    case message_kind::snapshot_chunk:
+        return this->on_snapshot_chunk(message);
+    case message_kind::snapshot_answer:
+        return this->on_snapshot_answer(message);
+    }
+}
+
+void replica::core::stop(const absl::Status& reason)
+{
+    this->role = replica_role::stopped;
+    this->leader.reset();
+    this->stopped_reason = errors::message_of(reason);
+    this->fail_waiting(replication_errc::stopped, replication_errc::stopped, this->stopped_reason);
+}
+
+peer_message replica::core::make_message(message_kind kind, replica_id to) const
+{
+    peer_message message;
+    message.kind = kind;
+    message.from = this->identity;
+    message.to = to;
+    message.reply_address = this->options.address;
+    message.term = this->vote.term;
+    return message;
+}
+
+peer_message replica::core::make_answer(message_kind kind, const peer_message& request) const
+{
+    peer_message answer;
+    answer.kind = kind;
+    // The same as this replica's identity, but for the broken rule that answers for others.
+    answer.from = request.to;
+    answer.to = request.from;
+    answer.term = this->vote.term;
+    answer.round = request.round;
+    return answer;
+}
+
+replica_status replica::core::status() const
+{
+    replica_status report;
+    report.id = this->identity;
+    report.role = this->role;
+    report.term = this->vote.term;
+    report.leader = this->known_leader();
+    report.commit = this->commit;
+    report.applied = this->applied;
+    report.last = this->log.last().index;
+    report.snapshot_last = this->snapshot_last.index;
+    report.stopped_reason = this->stopped_reason;
+    for (const member& who : this->members()) {
+        member_status& entry = report.members.emplace_back();
+        entry.who = who;
+        const auto found = this->peers.find(who.id);
+        if (found != this->peers.end()) {
+            entry.match = found->second.match;
+            entry.last_contact = found->second.last_contact;
+            entry.caught_up = this->is_caught_up(who.id);
+        }
+        else if (who.id == this->identity && !this->stopped()) {
+            entry.match = report.last;
+            entry.last_contact = this->now();
+            entry.caught_up = this->role == replica_role::leader;
+        }
+    }
+    return report;
+}
+
+void replica::core::notify_leadership()
+{
+    const bool self_leads =
+        this->role == replica_role::leader && this->applied >= this->first_of_own_term;
+    const leadership present{this->vote.term, this->known_leader(), self_leads};
+    if (present != this->notified) {
+        this->notified = present;
+        this->hooks.leadership_changed(present);
+    }
+}
+
+replica::replica(replica_options chosen, log_storage& durable, clock_function clock,
+                 replica_hooks callbacks)
+    : impl(std::make_unique<core>(std::move(chosen), durable, std::move(clock),
+                                  std::move(callbacks)))
+{
+}
+
+replica::~replica() = default;
+
+absl::Status replica::start()
+{
+    return this->impl->start();
+}
+
+absl::Status replica::form(const std::vector<member>& members)
+{
+    return this->impl->form(members);
+}
+
+void replica::tick()
+{
+    this->impl->tick();
+    this->impl->notify_leadership();
+}
+
+void replica::receive(replica_id from, const peer_message& message)
+{
+    this->impl->receive(from, message);
+    this->impl->notify_leadership();
+}
+
+void replica::propose(std::string command, propose_done done)
+{
+    this->impl->propose(std::move(command), std::move(done));
+}
+
+void replica::flush()
+{
+    this->impl->flush();
+    this->impl->notify_leadership();
+}
+
+void replica::read_barrier(status_done done)
+{
+    this->impl->read_barrier(std::move(done));
+}
+
+bool replica::leads() const
+{
+    return this->impl->leads();
+}
+
+std::optional<replica_id> replica::known_leader() const
+{
+    return this->impl->known_leader();
+}
+
+void replica::add_learner(const member& added, status_done done)
+{
+    this->impl->add_learner(added, std::move(done));
+}
+
+void replica::promote(replica_id id, status_done done)
+{
+    this->impl->promote(id, std::move(done));
+}
+
+void replica::remove(replica_id id, status_done done)
+{
+    this->impl->remove(id, std::move(done));
+}
+
+void replica::resign()
+{
+    this->impl->resign();
+    this->impl->notify_leadership();
+}
+
+replica_id replica::identity() const
+{
+    return this->impl->identity;
+}
+
+bool replica::has_state() const
+{
+    return this->impl->has_state();
+}
+
+replica_status replica::status() const
+{
+    return this->impl->status();
+}
+
+const std::vector<member>& replica::members() const
+{
+    return this->impl->members();
+}
+
+} // namespace redwingwheel::replication
--- /dev/null
+++ b/src/libreplication/replica_snapshot.cpp
@@ -0,0 +1,157 @@
+#include "replica_core.h"
+
+#include <algorithm>
+
+namespace redwingwheel::replication {
+
+void replica::core::maybe_take_snapshot()
+{
+    if (this->applied.value <
+        this->snapshot_last.index.value + this->options.snapshot_every_entries) {
+        return;
+    }
+    const snapshot taken{{this->applied, this->log.at(this->applied).term},
+                         this->members_at(this->applied),
+                         this->hooks.take_snapshot()};
+    const log_index keep_from = this->applied + 1 - this->options.trailing_entries;
+    const absl::Status status = this->storage.save_snapshot(taken, keep_from);
+    if (!status.ok()) {
+        return this->stop(status);
+    }
+    this->snapshot_last = taken.last;
+    this->log.drop_to(keep_from - 1);
+    while (this->member_lists.size() > 1 && this->member_lists[1].index <= this->applied) {
+        this->member_lists.erase(this->member_lists.begin());
+    }
+}
+
+void replica::core::begin_transfer(replica_id id, peer_progress& peer)
+{
+    for (const auto& [other_id, other] : this->peers) {
+        if (other.transfer.has_value() && other.transfer->source->last == this->snapshot_last) {
+            peer.transfer = snapshot_transfer{other.transfer->source, 0, {}};
+        }
+    }
+    if (!peer.transfer.has_value()) {
+        absl::StatusOr<snapshot> source = this->storage.read_snapshot();
+        if (!source.ok()) {
+            return this->stop(source.status());
+        }
+        peer.transfer =
+            snapshot_transfer{std::make_shared<const snapshot>(std::move(*source)), 0, {}};
+    }
+    this->send_chunk(id, peer);
+}
+
+void replica::core::send_chunk(replica_id id, peer_progress& peer)
+{
+    snapshot_transfer& transfer = *peer.transfer;
+    const snapshot& source = *transfer.source;
+    peer_message request = this->make_message(message_kind::snapshot_chunk, id);
+    request.round = this->round;
+    request.part.last = source.last;
+    request.part.members = source.members;
+    request.part.offset = transfer.offset;
+    request.part.total = source.state.size();
+    request.part.data =
+        source.state.substr(transfer.offset, this->options.max_snapshot_chunk_bytes);
+    transfer.resend_at = this->now() + 2 * this->options.heartbeat_interval;
+    this->send(request);
+}
+
+void replica::core::resend_chunks()
+{
+    // A peer that does not answer heartbeats gets no chunks either.
+    const steady_time alive_since = this->now() - this->options.election_timeout;
+    for (auto& [id, peer] : this->peers) {
+        if (peer.transfer.has_value() && this->now() >= peer.transfer->resend_at &&
+            peer.last_contact >= alive_since) {
+            this->send_chunk(id, peer);
+        }
+    }
+}
+
+void replica::core::on_snapshot_answer(const peer_message& message)
+{
+    if (!this->follow_term(message.term) || this->role != replica_role::leader ||
+        message.term != this->vote.term || !this->peers.contains(message.from)) {
+        return;
+    }
+    peer_progress& peer = this->peers.at(message.from);
+    this->note_contact(peer, message.round);
+    if (!peer.transfer.has_value() || peer.transfer->source->last != message.part.last) {
+        return;
+    }
+    if (message.accepted) {
+        peer.match = std::max(peer.match, message.part.last.index);
+        peer.next = peer.match + 1;
+        peer.in_flight = 0;
+        peer.transfer.reset();
+        this->send_entries(message.from, peer, false);
+    }
+    else if (message.part.offset != peer.transfer->offset &&
+             message.part.offset <= peer.transfer->source->state.size()) {
+        peer.transfer->offset = message.part.offset;
+        this->send_chunk(message.from, peer);
+    }
+    this->advance_commit();
+    this->finish_reads();
+}
+
+void replica::core::on_snapshot_chunk(const peer_message& message)
+{
+    if (!this->accept_leader(message)) {
+        if (!this->stopped()) {
+            this->send(this->make_answer(message_kind::snapshot_answer, message));
+        }
+        return;
+    }
+    peer_message answer = this->make_answer(message_kind::snapshot_answer, message);
+    answer.part.last = message.part.last;
+    if (message.part.last.index <= this->commit) {
+        answer.accepted = true;
+        return this->send(answer);
+    }
+    if (this->incoming.last != message.part.last || this->incoming.total != message.part.total) {
+        this->incoming = message.part;
+        this->incoming.data.clear();
+    }
+    if (message.part.offset == this->incoming.data.size()) {
+        this->incoming.data += message.part.data;
+        answer.accepted = this->incoming.data.size() == this->incoming.total;
+    }
+    answer.part.offset = this->incoming.data.size();
+    if (answer.accepted) {
+        const snapshot received{this->incoming.last, std::move(this->incoming.members),
+                                std::move(this->incoming.data)};
+        this->incoming = {};
+        if (!this->install(received)) {
+            return;
+        }
+    }
+    this->send(answer);
+}
+
+bool replica::core::install(const snapshot& received)
+{
+    if (this->log.term_at(received.last.index) == received.last.term) {
+        // The log holds all that the snapshot covers; its entries are kept.
+        this->commit = received.last.index;
+        this->apply_committed();
+        return !this->stopped();
+    }
+    const absl::Status status = this->storage.install_snapshot(received);
+    if (!status.ok()) {
+        this->stop(status);
+        return false;
+    }
+    this->log.reset(received.last);
+    this->member_lists = {{received.last.index, received.members}};
+    this->commit = received.last.index;
+    this->applied = received.last.index;
+    this->snapshot_last = received.last;
+    this->hooks.restore_snapshot(received);
+    return true;
+}
+
+} // namespace redwingwheel::replication
