Rename the address header of the settings

Cause: the messages between daemons have a header of the same name, with another type. Change: redwingwheel/socket_address.h. Conclusion: both headers can be included.

--- a/src/libconfig/field_reader.cpp
+++ b/src/libconfig/field_reader.cpp
@@ -6,8 +6,8 @@
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
-#include "redwingwheel/address.h"
 #include "redwingwheel/calendar.h"
+#include "redwingwheel/socket_address.h"
 
 namespace redwingwheel::config {
 
--- a/src/libconfig/settings_test.cpp
+++ b/src/libconfig/settings_test.cpp
@@ -4,7 +4,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "redwingwheel/address.h"
+#include "redwingwheel/socket_address.h"
 
 namespace config = redwingwheel::config;
 
--- a/src/libconfig/address.cpp
+++ b/src/libconfig/socket_address.cpp
@@ -1,4 +1,4 @@
-#include "redwingwheel/address.h"
+#include "redwingwheel/socket_address.h"
 
 #include <charconv>
 
