Build the daemon: operators' interface at the control leader

Cause: the draft of the services lacked the interface that operators and job submitters use. Ruled out: an RPC message per operator call, because every new path would change the protocol between daemons; entries authenticate and forward the call instead.

--- a/src/include/redwingwheel/controller.h
+++ b/src/include/redwingwheel/controller.h
@@ -77,6 +77,12 @@
     [[nodiscard]] const membership::gang_coordinator& gangs() const { return this->coordinator; }
     [[nodiscard]] std::vector<process_view> processes() const;
     [[nodiscard]] bool worker_lost(std::string_view worker) const;
+    [[nodiscard]] bool worker_shutting_down(std::string_view worker) const;
+    /// True when every process that may hold a permit has polled this leader, or its permit from
+    /// the former leader has ended.
+    [[nodiscard]] bool knows_all_processes() const;
+    /// True when no permit of the process can be valid any more.
+    [[nodiscard]] bool permit_surely_ended(const process_view& of) const;
 
 private:
     struct agent_row {
@@ -91,8 +97,7 @@
     void on_applied(const cancel_job& of, const command_result& result, std::uint64_t index);
     void on_applied(const end_job& of, const command_result& result, std::uint64_t index);
     void on_applied(const place_job& of, const command_result& result, std::uint64_t index);
-    void on_applied(const gang_step_command& of, const command_result& result,
-                    std::uint64_t index);
+    void on_applied(const gang_step_command& of, const command_result& result, std::uint64_t index);
     void on_applied(const claim_step&, const command_result&, std::uint64_t) {}
     void on_applied(const record_usage&, const command_result&, std::uint64_t) {}
 
@@ -125,6 +130,7 @@
     const control_state& state;
     controller_hooks hooks;
     bool is_leading = false;
+    steady_time former_permits_end;
     std::uint64_t term = 0;
     membership::permit_granter granter;
     membership::worker_table workers;
--- a/src/include/redwingwheel/messages.h
+++ b/src/include/redwingwheel/messages.h
@@ -202,7 +202,7 @@
 
 [[nodiscard]] inline claim_reply to_message(const request::claim_result& result)
 {
-    claim_reply reply{result.verdict, result.attempt, result.worker, result.incarnation, {},
+    claim_reply reply{result.verdict,  result.attempt, result.worker, result.incarnation, {},
                       result.body_kept};
     if (result.recorded.has_value()) {
         reply.recorded.push_back(*result.recorded);
--- a/src/libagent/agent_service.cpp
+++ b/src/libagent/agent_service.cpp
@@ -84,17 +84,17 @@
 } // namespace
 
 agent_service::agent_service(const config::settings& chosen, std::string_view cluster_secret,
-                             kernel::control_loop& control_loop,
-                             kernel::traffic_loop& traffic_loop, http::client& http_client)
+                             kernel::control_loop& control_loop, kernel::traffic_loop& traffic_loop,
+                             http::client& http_client)
     : settings(chosen), secret(cluster_secret), loop(control_loop), traffic(traffic_loop),
       client(http_client), incarnation(draw_incarnation()),
       permits(system_clock_function(), permit_options_from(chosen), chosen.data_centre),
       member(system_clock_function(), this->permits, this->incarnation,
              member_options_from(chosen)),
       control(control_loop, traffic_loop, chosen.control.replicas, cluster_secret),
-      requests(std::make_unique<request_runner>(
-          runner_options_from(chosen, this->incarnation), system_clock_function(), control_loop,
-          http_client, [this] { return this->may_start(); }))
+      requests(std::make_unique<request_runner>(runner_options_from(chosen, this->incarnation),
+                                                system_clock_function(), control_loop, http_client,
+                                                [this] { return this->may_start(); }))
 {
     task_runner::slot_hooks slots;
     slots.hold = [this](std::uint64_t task, std::uint32_t count) {
@@ -179,16 +179,15 @@
         this->serve_execute(request, reply);
         return;
     case messages::kind::cancel_attempt:
-        answer_with<messages::cancel_attempt>(
-            request, reply, [this](const messages::cancel_attempt& of) {
-                return pack(this->requests->cancel(of));
-            });
+        answer_with<messages::cancel_attempt>(request, reply,
+                                              [this](const messages::cancel_attempt& of) {
+                                                  return pack(this->requests->cancel(of));
+                                              });
         return;
     case messages::kind::fetch_answer:
         answer_with<messages::fetch_answer>(
-            request, reply, [this](const messages::fetch_answer& of) {
-                return pack(this->requests->fetch(of));
-            });
+            request, reply,
+            [this](const messages::fetch_answer& of) { return pack(this->requests->fetch(of)); });
         return;
     default:
         reply(absl::InvalidArgumentError(fmt::format("unknown message kind {}", request.kind)));
@@ -212,14 +211,13 @@
         reply(pack(refusal));
         return;
     }
-    this->requests->execute(*std::move(of), [reply](const messages::execute_answer& answer) {
-        reply(pack(answer));
-    });
+    this->requests->execute(
+        *std::move(of), [reply](const messages::execute_answer& answer) { reply(pack(answer)); });
 }
 
-bool agent_service::knows_service(std::string_view account, std::string_view service) const
+bool agent_service::knows_service(std::string_view account, std::string_view wanted) const
 {
-    return this->configuration.find_service(service) != nullptr &&
+    return this->configuration.find_service(wanted) != nullptr &&
            this->configuration.find_client_account(account) != nullptr;
 }
 
@@ -371,8 +369,7 @@
         return;
     }
     this->backend_serving = serving;
-    spdlog::info("event=backend_health worker={} serving={}", this->settings.agent.worker,
-                 serving);
+    spdlog::info("event=backend_health worker={} serving={}", this->settings.agent.worker, serving);
     this->poll();
 }
 
--- a/src/libagent/request_runner.cpp
+++ b/src/libagent/request_runner.cpp
@@ -84,15 +84,15 @@
     http::client_request request;
     request.method = "POST";
     request.url = fmt::format("http://{}/request", this->options.backend);
-    request.headers = {{"X-Attempt", fmt::format("{:016x}", attempt)},
-                       {"X-Account", of.account},
-                       {"X-Service", of.service},
-                       {"Content-Type", of.content_type.empty() ? "application/octet-stream"
-                                                                : of.content_type}};
+    request.headers = {
+        {"X-Attempt", fmt::format("{:016x}", attempt)},
+        {"X-Account", of.account},
+        {"X-Service", of.service},
+        {"Content-Type", of.content_type.empty() ? "application/octet-stream" : of.content_type}};
     request.body = of.body;
     request.at_most_once = !of.idempotent;
-    request.deadline = of.idempotent ? started.deadline
-                                     : started.deadline + this->options.longest_claimed_run;
+    request.deadline =
+        of.idempotent ? started.deadline : started.deadline + this->options.longest_claimed_run;
     spdlog::debug("event=attempt_started attempt={:016x} account={} service={}", attempt,
                   of.account, of.service);
     started.http_number = this->client.send(
@@ -223,7 +223,10 @@
     return result;
 }
 
-void request_runner::tick() { this->carry_out(this->admission.expire()); }
+void request_runner::tick()
+{
+    this->carry_out(this->admission.expire());
+}
 
 bool request_runner::hold_slots(std::uint64_t task, std::uint32_t count)
 {
--- a/src/libagent/task_runner.cpp
+++ b/src/libagent/task_runner.cpp
@@ -47,7 +47,10 @@
 {
 }
 
-void task_runner::describe(const messages::task_description& job) { this->jobs[job.job] = job; }
+void task_runner::describe(const messages::task_description& job)
+{
+    this->jobs[job.job] = job;
+}
 
 void task_runner::carry_out(const std::vector<membership::gang_action>& actions)
 {
@@ -134,8 +137,7 @@
     }
     const bool unsent =
         error_code<http::http_errc>(reply.status()) == http::http_errc::not_connected;
-    this->end(task, unsent ? membership::task_outcome::not_run
-                           : membership::task_outcome::unknown);
+    this->end(task, unsent ? membership::task_outcome::not_run : membership::task_outcome::unknown);
 }
 
 void task_runner::act(const membership::checkpoint_task& what)
--- a/src/libclient/leader_client.cpp
+++ b/src/libclient/leader_client.cpp
@@ -61,7 +61,10 @@
     }
 }
 
-leader_client::~leader_client() { *this->alive = false; }
+leader_client::~leader_client()
+{
+    *this->alive = false;
+}
 
 void leader_client::call_once(messages::kind kind, std::string body, steady_time deadline,
                               leader_done done)
@@ -85,15 +88,14 @@
                              const leader_done& done)
 {
     if (!body.ok()) {
-        const std::optional<wire::wire_errc> code =
-            error_code<wire::wire_errc>(body.status());
+        const std::optional<wire::wire_errc> code = error_code<wire::wire_errc>(body.status());
         if (code == wire::wire_errc::rejected) {
             done(translate_error(leader_errc::refused, body.status()));
             return;
         }
         this->move_on(target);
-        const leader_errc own = code == wire::wire_errc::not_sent ? leader_errc::no_leader
-                                                                  : leader_errc::unanswered;
+        const leader_errc own =
+            code == wire::wire_errc::not_sent ? leader_errc::no_leader : leader_errc::unanswered;
         done(translate_error(own, body.status()));
         return;
     }
@@ -141,8 +143,7 @@
     const steady_time try_deadline = std::min(call->deadline, now + try_patience);
     this->call_once(
         call->kind, call->body, try_deadline, [this, call](absl::StatusOr<std::string> result) {
-            if (result.ok() ||
-                error_code<leader_errc>(result.status()) == leader_errc::refused) {
+            if (result.ok() || error_code<leader_errc>(result.status()) == leader_errc::refused) {
                 call->done(std::move(result));
                 return;
             }
--- a/src/libcontrol/control_service.cpp
+++ b/src/libcontrol/control_service.cpp
@@ -53,7 +53,10 @@
     return *std::move(message);
 }
 
-absl::Status unreadable() { return absl::InvalidArgumentError("the message is not readable"); }
+absl::Status unreadable()
+{
+    return absl::InvalidArgumentError("the message is not readable");
+}
 
 } // namespace
 
@@ -245,9 +248,9 @@
 
 void control_service::serve_claim(const wire::incoming_request& request, const served& done)
 {
-    absl::StatusOr<request::claim_command> command = request::unpack_command(request.body);
-    if (!command.ok()) {
-        done(command.status());
+    absl::StatusOr<request::claim_command> claim = request::unpack_command(request.body);
+    if (!claim.ok()) {
+        done(claim.status());
         return;
     }
     // The leader's clock dates claims, so that entries' clocks do not matter.
@@ -260,8 +263,8 @@
                 each.issued_at = unix_ms();
             }
         },
-        *command);
-    this->propose(claim_step{*std::move(command)},
+        *claim);
+    this->propose(claim_step{*std::move(claim)},
                   [done](const absl::StatusOr<command_result>& result) {
                       if (!result.ok()) {
                           done(result.status());
@@ -271,17 +274,15 @@
                   });
 }
 
-void control_service::serve_operator_call(const wire::incoming_request& request,
-                                          const served& done)
+void control_service::serve_operator_call(const wire::incoming_request& request, const served& done)
 {
     const std::optional<messages::operator_call> call = read<messages::operator_call>(request);
     if (!call.has_value()) {
         done(unreadable());
         return;
     }
-    this->operators->serve(*call, request.deadline, [done](const messages::operator_answer& answer) {
-        done(pack(answer));
-    });
+    this->operators->serve(*call,
+                           [done](const messages::operator_answer& answer) { done(pack(answer)); });
     this->schedule_decisions();
 }
 
@@ -304,7 +305,10 @@
             this->replica->has_state()};
 }
 
-std::string control_service::formation_reply() { return pack(this->own_formation()); }
+std::string control_service::formation_reply()
+{
+    return pack(this->own_formation());
+}
 
 void control_service::serve_join(const wire::incoming_request& request)
 {
@@ -472,6 +476,7 @@
 {
     if (!this->stopping && this->replica->leads()) {
         this->decisions->tick();
+        this->operators->tick();
     }
 }
 
@@ -506,20 +511,19 @@
 void control_service::ask_formation(const std::string& address)
 {
     const steady_time deadline = std::chrono::steady_clock::now() + group_search_period;
-    this->client_for(address).call(
-        static_cast<std::uint16_t>(messages::kind::formation), "", deadline,
-        [this, address](absl::StatusOr<std::string> body) {
-            if (!body.ok()) {
-                return;
-            }
-            const absl::StatusOr<replication::formation_answer> answer =
-                unpack<replication::formation_answer>(*body);
-            if (answer.ok()) {
-                this->loop.post([this, address, answer = *answer] {
-                    this->formation_answers[address] = answer;
-                });
-            }
-        });
+    this->client_for(address).call(static_cast<std::uint16_t>(messages::kind::formation), "",
+                                   deadline, [this, address](absl::StatusOr<std::string> body) {
+                                       if (!body.ok()) {
+                                           return;
+                                       }
+                                       const absl::StatusOr<replication::formation_answer> answer =
+                                           unpack<replication::formation_answer>(*body);
+                                       if (answer.ok()) {
+                                           this->loop.post([this, address, answer = *answer] {
+                                               this->formation_answers[address] = answer;
+                                           });
+                                       }
+                                   });
 }
 
 void control_service::ask_to_join()
--- a/src/libcontrol/control_state.cpp
+++ b/src/libcontrol/control_state.cpp
@@ -54,7 +54,10 @@
     return pack(packed_gang_step{static_cast<std::uint32_t>(of.step.index()), step, of.now_ms});
 }
 
-std::string pack_body(const claim_step& of) { return request::pack_command(of.command); }
+std::string pack_body(const claim_step& of)
+{
+    return request::pack_command(of.command);
+}
 
 template <class Command>
 std::string pack_body(const Command& of)
@@ -142,7 +145,10 @@
     return "unknown";
 }
 
-bool is_final(job_step step) { return step >= job_step::done; }
+bool is_final(job_step step)
+{
+    return step >= job_step::done;
+}
 
 std::string pack_command(const command& of)
 {
@@ -198,8 +204,7 @@
 
 command_result control_state::apply(const command& of, std::uint64_t index)
 {
-    return std::visit([this, index](const auto& each) { return this->apply_one(each, index); },
-                      of);
+    return std::visit([this, index](const auto& each) { return this->apply_one(each, index); }, of);
 }
 
 data_centre_record control_state::data_centre(std::string_view name) const
@@ -237,8 +242,7 @@
     if (this->config->find_data_centre(of.data_centre) == nullptr) {
         return refused(fmt::format("data centre {} is not configured", of.data_centre));
     }
-    this->data_centre_records[of.data_centre] = {of.in_service, index, of.operator_name,
-                                                 of.now_ms};
+    this->data_centre_records[of.data_centre] = {of.in_service, index, of.operator_name, of.now_ms};
     return {};
 }
 
@@ -360,11 +364,11 @@
         this->finish_job(job, job_step::cancelled, "cancelled by its account", now_ms);
     }
     else if (must_not_run_again(job)) {
-        const bool any_unknown = std::any_of(
-            step.members.begin(), step.members.end(),
-            [](const membership::gang_member_record& member) {
-                return member.outcome == membership::task_outcome::unknown;
-            });
+        const bool any_unknown =
+            std::any_of(step.members.begin(), step.members.end(),
+                        [](const membership::gang_member_record& member) {
+                            return member.outcome == membership::task_outcome::unknown;
+                        });
         this->finish_job(job, any_unknown ? job_step::unknown : job_step::failed, reason, now_ms);
     }
     else {
--- a/src/libcontrol/controller.cpp
+++ b/src/libcontrol/controller.cpp
@@ -53,8 +53,8 @@
 {
     std::string refused;
     for (const placement::refused_candidate& candidate : record.refused) {
-        refused += fmt::format("{}{}:{}", refused.empty() ? "" : ";", candidate.place,
-                               candidate.reason);
+        refused +=
+            fmt::format("{}{}:{}", refused.empty() ? "" : ";", candidate.place, candidate.reason);
     }
     spdlog::info("event=placement_decision job={} outcome={} workers=[{}] reason=\"{}\" "
                  "refused=\"{}\"",
@@ -95,13 +95,11 @@
     }
     const std::vector<placement::guarantee> wanted = guarantees_of(proposed);
     for (const placement::shortfall& each : trial.check_guarantees(wanted)) {
-        problems.push_back({"", fmt::format("agreements.{}.count", each.agreement),
-                            fmt::format("{}", each.wanted),
-                            fmt::format("at most {} cells of level {} in {}",
-                                        each.wanted - each.missing,
-                                        placement::name_of(each.level),
-                                        each.data_centre.empty() ? "any data centre"
-                                                                 : each.data_centre)});
+        problems.push_back(
+            {"", fmt::format("agreements.{}.count", each.agreement), fmt::format("{}", each.wanted),
+             fmt::format("at most {} cells of level {} in {}", each.wanted - each.missing,
+                         placement::name_of(each.level),
+                         each.data_centre.empty() ? "any data centre" : each.data_centre)});
     }
     return problems;
 }
@@ -119,6 +117,7 @@
 {
     this->is_leading = true;
     this->term = leader_term;
+    this->former_permits_end = this->clock() + this->options.permits.surely_ended_after();
     this->granter.begin_leadership();
     this->workers.clear();
     this->engine = std::make_unique<placement::engine>(this->options.placement, this->clock);
@@ -150,7 +149,10 @@
     this->granter.end_leadership();
 }
 
-void controller::state_replaced() { this->note_data_centres(); }
+void controller::state_replaced()
+{
+    this->note_data_centres();
+}
 
 void controller::note_data_centres()
 {
@@ -348,8 +350,8 @@
     if (job != nullptr && step.reason == membership::gang_end_reason::member_failed) {
         for (const membership::gang_member_record& member : step.members) {
             if (member.outcome == membership::task_outcome::failed) {
-                const absl::Status ignored = this->engine->report_failure(
-                    step.job, member.worker, job->job.service);
+                const absl::Status ignored =
+                    this->engine->report_failure(step.job, member.worker, job->job.service);
                 static_cast<void>(ignored);
             }
         }
@@ -359,6 +361,7 @@
 
 void controller::release_cells(std::string_view job, bool checkpointed)
 {
+    this->early_stops.erase(std::string(job));
     const job_record* const record = this->state.find_job(job);
     const bool over = record == nullptr || is_final(record->step);
     const absl::Status freed =
@@ -418,8 +421,8 @@
 
 void controller::mark_claims_unknown(const std::string& worker, std::uint64_t incarnation)
 {
-    this->propose(claim_step{
-        request::mark_unknown{worker, incarnation, this->hooks.wall_clock_ms()}});
+    this->propose(
+        claim_step{request::mark_unknown{worker, incarnation, this->hooks.wall_clock_ms()}});
 }
 
 void controller::take_announcement(const messages::agent_poll& from,
@@ -445,8 +448,7 @@
 
 void controller::take_usage(const messages::agent_poll& from, messages::agent_poll_answer& answer)
 {
-    answer.usage_batch_recorded =
-        this->state.recorded_usage_batch(from.worker, from.incarnation);
+    answer.usage_batch_recorded = this->state.recorded_usage_batch(from.worker, from.incarnation);
     const bool fresh = !from.usage.empty() && from.usage_batch > answer.usage_batch_recorded;
     if (!fresh || this->recording_usage.contains(from.worker)) {
         return;
@@ -475,11 +477,10 @@
                               row.entry.load.queued != from.load.queued ||
                               row.entry.load.held_slots != from.load.held_slots ||
                               row.entry.load.error_share != from.load.error_share;
-    const bool changed = row.version == 0 || load_changed || row.entry.lost ||
-                         row.entry.incarnation != next.incarnation ||
-                         row.entry.address != next.address ||
-                         row.entry.may_start != next.may_start ||
-                         row.entry.shutting_down != next.shutting_down;
+    const bool changed =
+        row.version == 0 || load_changed || row.entry.lost ||
+        row.entry.incarnation != next.incarnation || row.entry.address != next.address ||
+        row.entry.may_start != next.may_start || row.entry.shutting_down != next.shutting_down;
     next.load = from.load;
     row.entry = std::move(next);
     if (changed) {
@@ -487,7 +488,10 @@
     }
 }
 
-void controller::touch(agent_row& row) { row.version = ++this->table_version; }
+void controller::touch(agent_row& row)
+{
+    row.version = ++this->table_version;
+}
 
 void controller::describe_tasks(messages::agent_poll_answer& answer) const
 {
@@ -548,16 +552,16 @@
     }
     const std::string id = job.id;
     const bool added = known == nullptr;
-    this->hooks.propose(submit_job{job, this->hooks.wall_clock_ms()},
-                        [this, id, added,
-                         done = std::move(done)](absl::StatusOr<command_result> result) {
-                            const bool refused = !result.ok() || !result->accepted;
-                            if (refused && added && this->state.find_job(id) == nullptr) {
-                                const absl::Status ignored = this->engine->cancel(id);
-                                static_cast<void>(ignored);
-                            }
-                            done(std::move(result));
-                        });
+    this->hooks.propose(
+        submit_job{job, this->hooks.wall_clock_ms()},
+        [this, id, added, done = std::move(done)](absl::StatusOr<command_result> result) {
+            const bool refused = !result.ok() || !result->accepted;
+            if (refused && added && this->state.find_job(id) == nullptr) {
+                const absl::Status ignored = this->engine->cancel(id);
+                static_cast<void>(ignored);
+            }
+            done(std::move(result));
+        });
 }
 
 void controller::tick()
@@ -658,8 +662,7 @@
 {
     this->hooks.propose(of, [](const absl::StatusOr<command_result>& result) {
         if (!result.ok()) {
-            spdlog::warn("event=proposal_failed error=\"{}\"",
-                         errors::message_of(result.status()));
+            spdlog::warn("event=proposal_failed error=\"{}\"", errors::message_of(result.status()));
         }
     });
 }
@@ -684,4 +687,20 @@
     return view == nullptr || view->lost;
 }
 
+bool controller::worker_shutting_down(std::string_view worker) const
+{
+    const auto found = this->rows.find(worker);
+    return found != this->rows.end() && found->second.entry.shutting_down;
+}
+
+bool controller::knows_all_processes() const
+{
+    return this->is_leading && this->clock() >= this->former_permits_end;
+}
+
+bool controller::permit_surely_ended(const process_view& of) const
+{
+    return this->clock() >= of.last_poll + this->options.permits.surely_ended_after();
+}
+
 } // namespace redwingwheel::control
--- a/src/libcontrol/operator_interface.h
+++ b/src/libcontrol/operator_interface.h
@@ -15,17 +15,36 @@
 
 using operator_done = std::function<void(const messages::operator_answer&)>;
 
+/// What a call is about, split from its path and query.
+struct parsed_call {
+    messages::caller_role role = messages::caller_role::client_account;
+    std::string caller;
+    std::string method;
+    /// Parts of the path behind /v1.
+    std::vector<std::string> parts;
+    std::map<std::string, std::string, std::less<>> query;
+    std::string body;
+
+    [[nodiscard]] bool by_operator() const
+    {
+        return this->role == messages::caller_role::operator_role;
+    }
+    [[nodiscard]] bool is(std::string_view wanted_method, std::size_t part_count) const
+    {
+        return this->method == wanted_method && this->parts.size() == part_count;
+    }
+};
+
 /// Serves the operators' and the job interface at the leader; docs/http-api.md describes it.
 /// Callers are authenticated by the entry; what they may do is decided here.
 class operator_interface {
 public:
-    operator_interface(const control_state& applied_state, controller& decisions,
+    operator_interface(const control_state& applied_state, controller& leader_decisions,
                        controller_hooks callbacks, clock_function clock_source,
-                       std::function<replication::replica_status()> log_status);
+                       std::function<replication::replica_status()> replica_status);
 
-    /// `done` is called once, by `deadline` or soon after. Calls that wait for a change to be in
-    /// force are answered by `tick`.
-    void serve(const messages::operator_call& call, steady_time deadline, operator_done done);
+    /// `done` is called once. Calls that wait for a change to be in force are answered by `tick`.
+    void serve(const messages::operator_call& call, const operator_done& done);
 
     /// Answers the calls whose change is in force, or whose time is over.
     void tick();
@@ -39,26 +58,22 @@
         operator_done done;
     };
 
-    void serve_release(const messages::operator_call& call, steady_time deadline,
-                       const operator_done& done);
-    void apply_note(const messages::operator_call& call, steady_time deadline,
-                    const operator_done& done);
-    void serve_data_centre(const messages::operator_call& call, steady_time deadline,
-                           const operator_done& done);
-    void serve_jobs(const messages::operator_call& call, const operator_done& done);
-    void submit_job(const messages::operator_call& call, const operator_done& done);
-    void cancel_job(const messages::operator_call& call, const std::string& id,
-                    const operator_done& done);
-    void serve_account(const messages::operator_call& call, const operator_done& done);
-
-    [[nodiscard]] nlohmann::json status_json() const;
-    [[nodiscard]] nlohmann::json data_centres_json() const;
-    [[nodiscard]] nlohmann::json workers_json() const;
-    [[nodiscard]] nlohmann::json guarantees_json() const;
-    [[nodiscard]] nlohmann::json replicas_json() const;
-    [[nodiscard]] nlohmann::json processes_json(std::uint64_t revision) const;
+    void serve_releases(const parsed_call& call, const operator_done& done);
+    void apply_note(const parsed_call& call, const operator_done& done);
+    void answer_note(const config::apply_result& result, milliseconds patience,
+                     const operator_done& done);
+    void serve_history(const parsed_call& call, const operator_done& done) const;
+    void serve_diff(const parsed_call& call, const operator_done& done) const;
+    void serve_revision(const parsed_call& call, const operator_done& done) const;
+    void serve_data_centres(const parsed_call& call, const operator_done& done);
+    void serve_jobs(const parsed_call& call, const operator_done& done);
+    void submit_job(const parsed_call& call, const operator_done& done);
+    void list_jobs(const parsed_call& call, const operator_done& done) const;
+    void cancel_job(const job_record& job, const operator_done& done);
+    void explain_job(const job_record& job, const operator_done& done) const;
+    void serve_accounts(const parsed_call& call, const operator_done& done) const;
+    void wait_for(waiting_call call);
     [[nodiscard]] bool in_force_everywhere(std::uint64_t revision) const;
-    [[nodiscard]] bool may_see(const messages::operator_call& call, std::string_view account) const;
 
     const control_state& state;
     controller& decisions;
--- a/src/libentry/entry_service.cpp
+++ b/src/libentry/entry_service.cpp
@@ -62,13 +62,11 @@
 {
     http::server_response response;
     response.status = 400;
-    response.body = json{{"outcome", "not_run"},
-                         {"problems",
-                          {{{"file", "request"},
-                            {"field", field},
-                            {"value", value},
-                            {"allowed", allowed}}}}}
-                        .dump();
+    response.body =
+        json{{"outcome", "not_run"},
+             {"problems",
+              {{{"file", "request"}, {"field", field}, {"value", value}, {"allowed", allowed}}}}}
+            .dump();
     response.headers = {{"X-Outcome", "not_run"}};
     return response;
 }
@@ -94,8 +92,8 @@
 } // namespace
 
 entry_service::entry_service(const config::settings& chosen, std::string_view cluster_secret,
-                             kernel::control_loop& control_loop,
-                             kernel::traffic_loop& traffic_loop, metrics::registry& registry)
+                             kernel::control_loop& control_loop, kernel::traffic_loop& traffic_loop,
+                             metrics::registry& registry)
     : settings(chosen), secret(cluster_secret), loop(control_loop), traffic(traffic_loop),
       metrics(registry),
       permits(system_clock_function(), permit_options_from(chosen), chosen.data_centre),
@@ -132,8 +130,8 @@
 void entry_service::drain(steady_time deadline)
 {
     this->loop.run_and_wait([this] { this->unhealthy = true; });
-    const steady_time notice_over = std::min(
-        deadline, std::chrono::steady_clock::now() + this->settings.entry.drain_notice);
+    const steady_time notice_over =
+        std::min(deadline, std::chrono::steady_clock::now() + this->settings.entry.drain_notice);
     std::this_thread::sleep_until(notice_over);
     this->loop.run_and_wait([this] { this->draining = true; });
     const std::size_t left = this->server->wait_until_idle(deadline);
@@ -163,7 +161,7 @@
 {
     if (request.path == "/health") {
         const bool healthy = !this->unhealthy && this->in_force();
-        const json body = {{"status", healthy          ? "serving"
+        const json body = {{"status", healthy           ? "serving"
                                       : this->unhealthy ? "draining"
                                                         : "no permit"},
                            {"revision", this->configuration.revision()}};
@@ -177,7 +175,10 @@
     this->forward(std::move(request), respond);
 }
 
-bool entry_service::in_force() const { return this->current && this->permits.lease_valid(); }
+bool entry_service::in_force() const
+{
+    return this->current && this->permits.lease_valid();
+}
 
 std::string entry_service::find_account(std::string_view token_digest) const
 {
@@ -218,31 +219,31 @@
         return;
     }
     const std::string service_name = request.path.substr(request_path.size());
-    const config::service* const service = this->configuration.find_service(service_name);
-    const bool allowed = service != nullptr &&
-                         std::find(service->accounts.begin(), service->accounts.end(), account) !=
-                             service->accounts.end();
+    const config::service* const wanted = this->configuration.find_service(service_name);
+    const bool allowed =
+        wanted != nullptr && std::find(wanted->accounts.begin(), wanted->accounts.end(), account) !=
+                                 wanted->accounts.end();
     if (!allowed) {
         respond(error_response(404, "not_run", "no such service for this account"));
         return;
     }
     caller_request asked;
     asked.account = account;
-    asked.service = *service;
+    asked.service = *wanted;
     asked.account_weight = this->configuration.find_client_account(account)->weight;
     asked.key = request.header("idempotency-key");
-    if (!service->idempotent && asked.key.empty()) {
+    if (!wanted->idempotent && asked.key.empty()) {
         respond(bad_input("Idempotency-Key", "(missing)",
                           "<unix seconds>-<rest>; the service is not idempotent"));
         return;
     }
-    std::uint64_t deadline_ms = service->default_deadline_ms;
+    std::uint64_t deadline_ms = wanted->default_deadline_ms;
     const std::string_view given = request.header("x-deadline-ms");
     if (!given.empty()) {
         const std::from_chars_result read =
             std::from_chars(given.data(), given.data() + given.size(), deadline_ms);
-        if (read.ec != std::errc() || read.ptr != given.data() + given.size() ||
-            deadline_ms == 0 || deadline_ms > longest_deadline_ms) {
+        if (read.ec != std::errc() || read.ptr != given.data() + given.size() || deadline_ms == 0 ||
+            deadline_ms > longest_deadline_ms) {
             respond(bad_input("X-Deadline-Ms", given, "1 to 3600000"));
             return;
         }
@@ -383,6 +384,9 @@
     return found == this->agents.end() ? nullptr : found->second.client.get();
 }
 
-void entry_service::end_flow(const request_flow* ended) { this->flows.erase(ended); }
+void entry_service::end_flow(const request_flow* ended)
+{
+    this->flows.erase(ended);
+}
 
 } // namespace redwingwheel::entry
--- a/src/libentry/request_flow.cpp
+++ b/src/libentry/request_flow.cpp
@@ -124,8 +124,8 @@
     request::begin_claim begin;
     begin.account = this->asked.account;
     begin.key = this->asked.key;
-    begin.payload_digest = digest::content_hash(
-        fmt::format("{}\n{}", this->asked.service.name, this->asked.body));
+    begin.payload_digest =
+        digest::content_hash(fmt::format("{}\n{}", this->asked.service.name, this->asked.body));
     begin.attempt = this->current.attempt;
     begin.worker = this->current.choice.worker;
     begin.incarnation = this->current.choice.incarnation;
@@ -186,8 +186,9 @@
         return;
     case verdict::issued_in_future:
     case verdict::malformed_key:
-        this->refuse(400, "not_run", "Idempotency-Key: allowed <unix seconds>-<rest>, not in the "
-                                     "future");
+        this->refuse(400, "not_run",
+                     "Idempotency-Key: allowed <unix seconds>-<rest>, not in the "
+                     "future");
         return;
     case verdict::worker_gone:
     case verdict::attempt_in_use:
@@ -225,16 +226,15 @@
     of.priority = static_cast<request::request_class>(this->asked.service.request_class);
     of.account_weight = this->asked.account_weight;
     const milliseconds left = remaining_until(this->asked.deadline, now);
-    of.deadline_ms =
-        static_cast<std::uint64_t>(std::max(left - way_back, milliseconds(1)).count());
+    of.deadline_ms = static_cast<std::uint64_t>(std::max(left - way_back, milliseconds(1)).count());
     of.idempotent = !this->claimed();
     of.claim_incarnation = this->claimed() ? this->current.choice.incarnation : 0;
     of.content_type = this->asked.content_type;
     of.body = this->asked.body;
     const std::shared_ptr<request_flow> self = this->shared_from_this();
     kernel::control_loop& loop = this->owner.loop;
-    agent->call(static_cast<std::uint16_t>(messages::kind::execute), pack(of),
-                this->asked.deadline, [self, &loop](absl::StatusOr<std::string> body) {
+    agent->call(static_cast<std::uint16_t>(messages::kind::execute), pack(of), this->asked.deadline,
+                [self, &loop](absl::StatusOr<std::string> body) {
                     loop.post([self, body = std::move(body)] { self->on_answer(body); });
                 });
 }
@@ -265,9 +265,8 @@
         return;
     }
     this->note_outcome(received->answer.outcome, &received->load);
-    this->conclude(std::move(received->answer), received->refused
-                                                    ? request::end_cause::refused
-                                                    : request::end_cause::failed);
+    this->conclude(std::move(received->answer),
+                   received->refused ? request::end_cause::refused : request::end_cause::failed);
 }
 
 void request_flow::note_outcome(request::outcome_kind outcome, const request::load_report* load)
@@ -302,10 +301,9 @@
 {
     using outcome = request::outcome_kind;
     if (answer.outcome == outcome::done) {
-        this->owner.retries.note_latency(
-            this->asked.service.name,
-            std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() -
-                                                     this->begun_at));
+        this->owner.retries.note_latency(this->asked.service.name,
+                                         std::chrono::duration_cast<milliseconds>(
+                                             std::chrono::steady_clock::now() - this->begun_at));
         this->record_and_answer(answer);
         return;
     }
@@ -394,10 +392,9 @@
                   : absl::StatusOr<messages::fetched_answer>(body.status());
     if (!fetched.ok() || fetched->at == state::running) {
         const std::shared_ptr<request_flow> self = this->shared_from_this();
-        this->owner.loop.run_at(std::chrono::steady_clock::now() + fetch_period,
-                                [self, attempt, worker, incarnation] {
-                                    self->follow(attempt, worker, incarnation);
-                                });
+        this->owner.loop.run_at(
+            std::chrono::steady_clock::now() + fetch_period,
+            [self, attempt, worker, incarnation] { self->follow(attempt, worker, incarnation); });
         return;
     }
     if (fetched->at == state::never_seen) {
@@ -405,8 +402,7 @@
         return;
     }
     this->current.attempt = attempt;
-    if (fetched->at == state::finished &&
-        request::check_answer(fetched->answer, attempt).ok()) {
+    if (fetched->at == state::finished && request::check_answer(fetched->answer, attempt).ok()) {
         if (fetched->answer.outcome == request::outcome_kind::not_run) {
             this->has_claim = true;
             this->conclude(fetched->answer, request::end_cause::refused);
@@ -415,8 +411,8 @@
         this->record_and_answer(fetched->answer);
         return;
     }
-    this->record_and_answer(request::make_bodyless_answer(
-        attempt, request::outcome_kind::unknown, "the worker that ran it has restarted"));
+    this->record_and_answer(request::make_bodyless_answer(attempt, request::outcome_kind::unknown,
+                                                          "the worker that ran it has restarted"));
 }
 
 void request_flow::on_never_seen(std::uint64_t attempt, const std::string& worker,
@@ -454,18 +450,18 @@
                         const absl::StatusOr<messages::cancel_answer> answer =
                             body.ok() ? unpack<messages::cancel_answer>(*body)
                                       : absl::StatusOr<messages::cancel_answer>(body.status());
-                        const bool barred = answer.ok() && answer->never_runs &&
-                                            answer->incarnation == incarnation;
+                        const bool barred =
+                            answer.ok() && answer->never_runs && answer->incarnation == incarnation;
                         if (!barred) {
                             self->follow(attempt, worker, incarnation);
                             return;
                         }
                         self->current.attempt = attempt;
                         self->has_claim = true;
-                        self->conclude(request::make_bodyless_answer(
-                                           attempt, request::outcome_kind::not_run,
-                                           "the attempt did not reach its worker"),
-                                       request::end_cause::not_sent);
+                        self->conclude(
+                            request::make_bodyless_answer(attempt, request::outcome_kind::not_run,
+                                                          "the attempt did not reach its worker"),
+                            request::end_cause::not_sent);
                     });
                 });
 }
@@ -517,8 +513,8 @@
     }
     http::server_response response;
     response.status = answer.http_status;
-    response.content_type = answer.content_type.empty() ? "application/octet-stream"
-                                                        : answer.content_type;
+    response.content_type =
+        answer.content_type.empty() ? "application/octet-stream" : answer.content_type;
     response.body = answer.body;
     response.headers = {{"X-Attempt", fmt::format("{:016x}", answer.attempt)},
                         {"X-Worker", this->current.choice.worker}};
@@ -542,9 +538,9 @@
     http::server_response whole = response;
     whole.headers.emplace("X-Outcome", outcome);
     const bool delivered = this->reply(whole);
-    const double took = std::chrono::duration<double, std::milli>(
-                            std::chrono::steady_clock::now() - this->begun_at)
-                            .count();
+    const double took =
+        std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - this->begun_at)
+            .count();
     const std::string_view priority = config::to_text(this->asked.service.request_class);
     this->owner.metrics.add("redwingwheel_requests_total",
                             fmt::format("class=\"{}\",outcome=\"{}\"", priority, outcome));
--- a/src/libentry/request_flow.h
+++ b/src/libentry/request_flow.h
@@ -55,8 +55,7 @@
     void follow(std::uint64_t attempt, const std::string& worker, std::uint64_t incarnation);
     void on_fetched(std::uint64_t attempt, const std::string& worker, std::uint64_t incarnation,
                     const absl::StatusOr<std::string>& body);
-    void on_never_seen(std::uint64_t attempt, const std::string& worker,
-                       std::uint64_t incarnation);
+    void on_never_seen(std::uint64_t attempt, const std::string& worker, std::uint64_t incarnation);
     void bar(std::uint64_t attempt, const std::string& worker, std::uint64_t incarnation);
 
     void record_and_answer(const request::answer& answer);
--- a/src/libmetrics/metrics.cpp
+++ b/src/libmetrics/metrics.cpp
@@ -37,10 +37,10 @@
         for (const double each : quantiles) {
             const double value =
                 accumulators::quantile(this->samples, accumulators::quantile_probability = each);
-            page += fmt::format("{} {}\n",
-                                series(key.name, fmt::format("{}{}quantile=\"{}\"", key.labels,
-                                                             separator, each)),
-                                value);
+            page += fmt::format(
+                "{} {}\n",
+                series(key.name, fmt::format("{}{}quantile=\"{}\"", key.labels, separator, each)),
+                value);
         }
         page += fmt::format("{} {}\n", series(key.name + "_sum", key.labels),
                             accumulators::sum(this->samples));
--- a/src/redwingwheeld/daemon.cpp
+++ b/src/redwingwheeld/daemon.cpp
@@ -22,8 +22,8 @@
 {
     // The order of the start; a stop runs in reverse, so that entries stop taking work first.
     if (this->settings.roles.control) {
-        this->services.add(std::make_unique<control::control_service>(
-            this->settings, secret, this->loop, this->traffic));
+        this->services.add(std::make_unique<control::control_service>(this->settings, secret,
+                                                                      this->loop, this->traffic));
     }
     if (this->settings.roles.agent) {
         this->services.add(std::make_unique<agent::agent_service>(
--- a/src/redwingwheeld/main.cpp
+++ b/src/redwingwheeld/main.cpp
@@ -134,8 +134,7 @@
     const absl::StatusOr<redwingwheel::config::settings> settings =
         redwingwheel::config::load_settings(*text, given.config_file);
     if (!settings.ok()) {
-        for (const std::string& line :
-             redwingwheel::config::problem_lines(settings.status())) {
+        for (const std::string& line : redwingwheel::config::problem_lines(settings.status())) {
             std::cerr << line << "\n";
         }
         return exit_bad_input;
@@ -145,8 +144,8 @@
     }
     const std::optional<std::string> secret = read_file(settings->cluster_secret_file);
     if (!secret.has_value() || trimmed(*secret).empty()) {
-        std::cerr << given.config_file
-                  << ": cluster_secret_file: value " << settings->cluster_secret_file
+        std::cerr << given.config_file << ": cluster_secret_file: value "
+                  << settings->cluster_secret_file
                   << ": allowed a readable file that is not empty\n";
         return exit_bad_input;
     }
