Test at-most-once execution over a matrix of faults

Ruled out: random fault sequences for this purpose, because the named cases of the design can be enumerated whole. Change: 16 faults of the first try times 9 sequels run against the real claim table, admission queue and outcome rules, with four invariants.

--- a/src/include/redwingwheel/admission.h
+++ b/src/include/redwingwheel/admission.h
@@ -88,13 +88,23 @@
     history_options history;
 };
 
+/// Rules that a test switches off to show that its checks notice.
+struct admission_rules {
+    bool check_duplicates = true;
+    bool check_incarnation = true;
+    bool bar_revoked = true;
+    bool count_slots = true;
+    bool interactive_first = true;
+    bool fair_shares = true;
+};
+
 /// The only authority over one backend server's slots and connections. Driven on one thread.
 class admission_queue {
 public:
     /// `may_start` is asked at the instant of every start: the permit may have ended in the queue.
     admission_queue(
         admission_options chosen, clock_function clock_source,
-        std::function<bool()> permit_check = [] { return true; });
+        std::function<bool()> permit_check = [] { return true; }, admission_rules kept_rules = {});
 
     /// Starts, queues or refuses `offered`.
     [[nodiscard]] offer_result offer(const request_info& offered);
@@ -120,6 +130,8 @@
     [[nodiscard]] bool idle() const;
     /// The earliest deadline of a queued attempt; empty when none waits.
     [[nodiscard]] std::optional<steady_time> next_deadline() const;
+    /// Keeps the answer of a claimed attempt for an entry that takes the claim over.
+    void keep_answer(const answer& kept) { this->ended.keep_answer(kept); }
     [[nodiscard]] const attempt_history& history() const { return this->ended; }
 
 private:
@@ -162,6 +174,7 @@
     admission_options options;
     clock_function clock;
     std::function<bool()> may_start;
+    admission_rules rules;
     std::array<class_state, class_count> classes;
     std::unordered_map<attempt_id, running_attempt> running;
     std::unordered_map<attempt_id, request_class> queued;
--- a/src/include/redwingwheel/claims.h
+++ b/src/include/redwingwheel/claims.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -195,7 +196,10 @@
         std::string account;
         std::string key;
         MSGPACK_DEFINE(account, key)
-        [[nodiscard]] auto operator<=>(const claim_id&) const = default;
+        [[nodiscard]] bool operator<(const claim_id& other) const
+        {
+            return std::tie(this->account, this->key) < std::tie(other.account, other.key);
+        }
     };
     struct claim_record {
         claim_id id;
@@ -222,7 +226,10 @@
         logged_ms ended_at = 0;
         claim_id id;
         MSGPACK_DEFINE(ended_at, id)
-        [[nodiscard]] auto operator<=>(const ending&) const = default;
+        [[nodiscard]] bool operator<(const ending& other) const
+        {
+            return std::tie(this->ended_at, this->id) < std::tie(other.ended_at, other.id);
+        }
     };
     static constexpr std::uint32_t snapshot_version = 1;
     struct snapshot {
--- a/src/librequest/admission.cpp
+++ b/src/librequest/admission.cpp
@@ -25,8 +25,8 @@
 } // namespace
 
 admission_queue::admission_queue(admission_options chosen, clock_function clock_source,
-                                 std::function<bool()> permit_check)
-    : options(chosen), clock(clock_source), may_start(std::move(permit_check)),
+                                 std::function<bool()> permit_check, admission_rules kept_rules)
+    : options(chosen), clock(clock_source), may_start(std::move(permit_check)), rules(kept_rules),
       ended(chosen.history, std::move(clock_source))
 {
 }
@@ -90,14 +90,15 @@
 {
     // Identity comes first: every later reason states "not run", which is false for an attempt that
     // is running or has run.
-    if (offered.claim_incarnation.has_value() &&
+    if (this->rules.check_incarnation && offered.claim_incarnation.has_value() &&
         *offered.claim_incarnation != this->options.incarnation) {
         return refusal_reason::wrong_incarnation;
     }
     if (this->running.contains(offered.attempt) || this->queued.contains(offered.attempt)) {
         return refusal_reason::duplicate_attempt;
     }
-    if (const std::optional<ended_how> how = this->ended.find(offered.attempt)) {
+    const std::optional<ended_how> how = this->ended.find(offered.attempt);
+    if (how.has_value() && this->rules.check_duplicates) {
         return *how == ended_how::ran ? refusal_reason::duplicate_attempt : refusal_reason::revoked;
     }
     if (this->draining) {
@@ -166,102 +167,6 @@
     return false;
 }
 
-std::uint32_t admission_queue::slots_open_to(request_class priority) const
-{
-    const std::uint32_t open = this->options.slots - this->held_slots;
-    if (priority != request_class::batch) {
-        return open;
-    }
-    return open - std::min({this->options.slots_kept_from_batch, open, this->options.slots - 1});
-}
-
-bool admission_queue::fits(const request_info& candidate) const
-{
-    if (this->running.size() + this->held.size() >= this->options.connections ||
-        this->used_slots + this->held_slots + candidate.slots > this->options.slots) {
-        return false;
-    }
-    return candidate.priority != request_class::batch ||
-           this->state_of(request_class::batch).slots_used + candidate.slots <=
-               this->slots_open_to(request_class::batch);
-}
-
-double admission_queue::expected_ms(const request_info& candidate) const
-{
-    const auto history = this->service_duration_ms.find(candidate.service);
-    return history == this->service_duration_ms.end() ? in_ms(candidate.expected_duration)
-                                                      : history->second;
-}
-
-double admission_queue::estimated_wait_ms(const request_info& offered) const
-{
-    double ends_per_ms = 0.0;
-    double ahead = 0.0;
-    for (std::size_t index = 0; index < class_count; ++index) {
-        const class_state& state = this->classes[index];
-        if (state.duration_ms > 0.0) {
-            ends_per_ms += state.running / state.duration_ms;
-        }
-        if (index < static_cast<std::size_t>(offered.priority)) {
-            ahead += state.waiting.size();
-        }
-    }
-    ahead +=
-        this->state_of(offered.priority).waiting.ahead_of(offered.account, offered.account_weight);
-    // Nothing is known before the first end of an attempt.
-    return ends_per_ms > 0.0 ? ahead / ends_per_ms : 0.0;
-}
-
-std::uint32_t admission_queue::waiting_count() const
-{
-    return static_cast<std::uint32_t>(this->queued.size());
-}
-
-std::uint32_t admission_queue::account_waiting(std::string_view account) const
-{
-    std::uint32_t waiting = 0;
-    for (const class_state& state : this->classes) {
-        waiting += state.waiting.account_size(account);
-    }
-    return waiting;
-}
-
-std::optional<request_class> admission_queue::next_background_class() const
-{
-    const class_state& standard = this->state_of(request_class::standard);
-    const class_state& batch = this->state_of(request_class::batch);
-    if (standard.waiting.size() == 0 && batch.waiting.size() == 0) {
-        return std::nullopt;
-    }
-    if (batch.waiting.size() == 0) {
-        return request_class::standard;
-    }
-    // Batch work that may not take the free slot does not hold up standard work.
-    if (standard.waiting.size() == 0 ||
-        (!this->fits(*batch.waiting.head()) && this->fits(*standard.waiting.head()))) {
-        return standard.waiting.size() == 0 ? request_class::batch : request_class::standard;
-    }
-    return std::max(batch.share_tag, this->background_time) <
-                   std::max(standard.share_tag, this->background_time)
-               ? request_class::batch
-               : request_class::standard;
-}
-
-std::optional<request_class> admission_queue::next_class() const
-{
-    const std::optional<request_class> background = this->next_background_class();
-    if (this->state_of(request_class::interactive).waiting.size() == 0) {
-        return background;
-    }
-    const std::uint32_t background_slots = this->state_of(request_class::standard).slots_used +
-                                           this->state_of(request_class::batch).slots_used;
-    if (background.has_value() && background_slots < this->options.background_floor_slots &&
-        this->fits(*this->state_of(*background).waiting.head())) {
-        return background;
-    }
-    return request_class::interactive;
-}
-
 void admission_queue::fill_slots(dispatch& out)
 {
     std::optional<request_class> priority = this->next_class();
@@ -291,7 +196,7 @@
     class_state& state = this->state_of(begun.priority);
     const double cost_ms = std::max(least_charge_ms, this->expected_ms(begun)) *
                            std::max<std::uint32_t>(1, begun.slots);
-    state.waiting.pop_head(cost_ms);
+    state.waiting.pop_head(this->rules.fair_shares ? cost_ms : 0.0);
     this->charge_class(begun.priority, cost_ms);
     this->queued.erase(begun.attempt);
     this->running.emplace(begun.attempt, running_attempt{begun, this->clock(), cost_ms});
@@ -341,8 +246,11 @@
 {
     const double used_ms = in_ms(this->clock() - ended_attempt.started_at);
     class_state& state = this->state_of(ended_attempt.info.priority);
-    state.waiting.correct_charge(ended_attempt.info.account, ended_attempt.charged_ms,
-                                 used_ms * std::max<std::uint32_t>(1, ended_attempt.info.slots));
+    if (this->rules.fair_shares) {
+        state.waiting.correct_charge(ended_attempt.info.account, ended_attempt.charged_ms,
+                                     used_ms *
+                                         std::max<std::uint32_t>(1, ended_attempt.info.slots));
+    }
     if (outcome != outcome_kind::not_run) {
         const double failed = outcome == outcome_kind::done ? 0.0 : 1.0;
         this->error_share += error_weight * (failed - this->error_share);
@@ -393,7 +301,9 @@
             result.kind = cancel_kind::finished;
             return result;
         }
-        this->ended.add(attempt, claimed, ended_how::never_ran);
+        if (this->rules.bar_revoked) {
+            this->ended.add(attempt, claimed, ended_how::never_ran);
+        }
         return result;
     }
     const std::optional<request_info> removed =
--- /dev/null
+++ b/src/librequest/admission_order.cpp
@@ -0,0 +1,117 @@
+#include "redwingwheel/admission.h"
+
+#include <algorithm>
+
+/// Which request may start next, and how long one would wait.
+namespace redwingwheel::request {
+
+namespace {
+
+double in_ms(std::chrono::nanoseconds length)
+{
+    return std::chrono::duration<double, std::milli>(length).count();
+}
+
+} // namespace
+
+std::uint32_t admission_queue::slots_open_to(request_class priority) const
+{
+    const std::uint32_t open = this->options.slots - this->held_slots;
+    if (priority != request_class::batch) {
+        return open;
+    }
+    return open - std::min({this->options.slots_kept_from_batch, open, this->options.slots - 1});
+}
+
+bool admission_queue::fits(const request_info& candidate) const
+{
+    if (!this->rules.count_slots) {
+        return true;
+    }
+    if (this->running.size() + this->held.size() >= this->options.connections ||
+        this->used_slots + this->held_slots + candidate.slots > this->options.slots) {
+        return false;
+    }
+    return candidate.priority != request_class::batch ||
+           this->state_of(request_class::batch).slots_used + candidate.slots <=
+               this->slots_open_to(request_class::batch);
+}
+
+double admission_queue::expected_ms(const request_info& candidate) const
+{
+    const auto history = this->service_duration_ms.find(candidate.service);
+    return history == this->service_duration_ms.end() ? in_ms(candidate.expected_duration)
+                                                      : history->second;
+}
+
+double admission_queue::estimated_wait_ms(const request_info& offered) const
+{
+    double ends_per_ms = 0.0;
+    double ahead = 0.0;
+    for (std::size_t index = 0; index < class_count; ++index) {
+        const class_state& state = this->classes[index];
+        if (state.duration_ms > 0.0) {
+            ends_per_ms += state.running / state.duration_ms;
+        }
+        if (index < static_cast<std::size_t>(offered.priority)) {
+            ahead += state.waiting.size();
+        }
+    }
+    ahead +=
+        this->state_of(offered.priority).waiting.ahead_of(offered.account, offered.account_weight);
+    // Nothing is known before the first end of an attempt.
+    return ends_per_ms > 0.0 ? ahead / ends_per_ms : 0.0;
+}
+
+std::uint32_t admission_queue::waiting_count() const
+{
+    return static_cast<std::uint32_t>(this->queued.size());
+}
+
+std::uint32_t admission_queue::account_waiting(std::string_view account) const
+{
+    std::uint32_t waiting = 0;
+    for (const class_state& state : this->classes) {
+        waiting += state.waiting.account_size(account);
+    }
+    return waiting;
+}
+
+std::optional<request_class> admission_queue::next_background_class() const
+{
+    const class_state& standard = this->state_of(request_class::standard);
+    const class_state& batch = this->state_of(request_class::batch);
+    if (standard.waiting.size() == 0 && batch.waiting.size() == 0) {
+        return std::nullopt;
+    }
+    if (batch.waiting.size() == 0) {
+        return request_class::standard;
+    }
+    // Batch work that may not take the free slot does not hold up standard work.
+    if (standard.waiting.size() == 0 ||
+        (!this->fits(*batch.waiting.head()) && this->fits(*standard.waiting.head()))) {
+        return standard.waiting.size() == 0 ? request_class::batch : request_class::standard;
+    }
+    return std::max(batch.share_tag, this->background_time) <
+                   std::max(standard.share_tag, this->background_time)
+               ? request_class::batch
+               : request_class::standard;
+}
+
+std::optional<request_class> admission_queue::next_class() const
+{
+    const std::optional<request_class> background = this->next_background_class();
+    if (this->state_of(request_class::interactive).waiting.size() == 0 ||
+        (background.has_value() && !this->rules.interactive_first)) {
+        return background;
+    }
+    const std::uint32_t background_slots = this->state_of(request_class::standard).slots_used +
+                                           this->state_of(request_class::batch).slots_used;
+    if (background.has_value() && background_slots < this->options.background_floor_slots &&
+        this->fits(*this->state_of(*background).waiting.head())) {
+        return background;
+    }
+    return request_class::interactive;
+}
+
+} // namespace redwingwheel::request
--- a/src/librequest/retry.cpp
+++ b/src/librequest/retry.cpp
@@ -9,7 +9,7 @@
 constexpr double latency_weight = 0.1;
 /// Services with a budget of their own; the rest share one, so that made-up names cost no memory.
 constexpr std::size_t service_bound = 1'024;
-constexpr std::string_view shared_budget = "";
+constexpr std::string_view shared_budget{"(others)"};
 
 double in_ms(std::chrono::nanoseconds length)
 {
