Placement: write comparisons out for the linter

The linter reads a defaulted three-way comparison as a null pointer and refuses it. Switching the check off was ruled out; the comparisons are written with tie.

--- a/src/libplacement/claims.cpp
+++ b/src/libplacement/claims.cpp
@@ -60,7 +60,8 @@
 {
     extra_capacity own = this->own_free(job);
     bool lent = false;
-    for (const auto& [index, mask] : this->book.cells_of(job.spec.account)) {
+    for (const auto& [cell_host, mask] : this->book.cells_of(job.spec.account)) {
+        const host_index index = cell_host;
         const host_state& host = this->tree.host(index);
         if (!this->tree.is_available(index)) {
             continue;
--- a/src/libplacement/decide.cpp
+++ b/src/libplacement/decide.cpp
@@ -23,7 +23,13 @@
     cell_level adjacency = cell_level::accelerator;
     bool is_low = false;
     bool may_borrow = false;
-    friend auto operator<=>(const search_shape&, const search_shape&) = default;
+    friend bool operator<(const search_shape& left, const search_shape& right)
+    {
+        return std::tie(left.account, left.members, left.accelerators, left.adjacency, left.is_low,
+                        left.may_borrow) < std::tie(right.account, right.members,
+                                                    right.accelerators, right.adjacency,
+                                                    right.is_low, right.may_borrow);
+    }
 };
 
 std::vector<std::string> workers_of(const topology& tree, const gang_parts& parts)
--- a/src/libplacement/engine_state.h
+++ b/src/libplacement/engine_state.h
@@ -29,7 +29,11 @@
     steady_time key; ///< Arrival, put off by expected length and by the account's backlog.
     std::uint64_t sequence = 0;
     job_slot slot = no_job;
-    friend auto operator<=>(const queue_key&, const queue_key&) = default;
+    friend bool operator<(const queue_key& left, const queue_key& right)
+    {
+        return std::tie(left.priority, left.key, left.sequence, left.slot) <
+               std::tie(right.priority, right.key, right.sequence, right.slot);
+    }
 };
 
 struct job_record {
--- a/src/libplacement/search.h
+++ b/src/libplacement/search.h
@@ -67,13 +67,21 @@
     struct score {
         std::uint32_t broken = 0; ///< Whole hosts that are broken.
         std::uint32_t rest = 0;   ///< Free accelerators left in the area.
-        friend auto operator<=>(const score&, const score&) = default;
+        friend bool operator<(const score& left, const score& right)
+        {
+            return std::tie(left.broken, left.rest) < std::tie(right.broken, right.rest);
+        }
     };
     struct area {
         data_centre_index data_centre = no_index;
         rack_index rack = no_index;
         host_index host = no_index;
-        friend auto operator<=>(const area&, const area&) = default;
+        friend bool operator<(const area& left, const area& right)
+        {
+            return std::tie(left.data_centre, left.rack, left.host) <
+                   std::tie(right.data_centre, right.rack, right.host);
+        }
+        friend bool operator==(const area&, const area&) = default;
     };
 
     bool allows(const gang_request& request, data_centre_index index) const;
--- a/src/libplacement/topology.h
+++ b/src/libplacement/topology.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "redwingwheel/placement_types.h"
@@ -57,7 +58,10 @@
 struct ranked {
     std::uint32_t free = 0;
     std::uint32_t index = 0;
-    friend auto operator<=>(const ranked&, const ranked&) = default;
+    friend bool operator<(const ranked& left, const ranked& right)
+    {
+        return std::tie(left.free, left.index) < std::tie(right.free, right.index);
+    }
 };
 
 /// Free cells of a data centre in one view, ordered by size.
