Queue a job only once its submission is in the log; tasks take no request slots

The leader queued a job before its submission was applied and placed it at once, so the placement found no record and the job was stuck. A gang of 16 tasks on two workers of 8 slots broke each time, because the admission queue keeps one slot from long-lived work. Ruled out: letting tasks take the kept slot, because a price check would then wait behind a job of hours; placing by slots as well, because accelerators already bound the tasks of a worker. Change: a submission only asks the engine whether the job can ever run; slots_per_member is removed from the job interface; the storage alone locks the data folder.

--- a/src/include/redwingwheel/control_state.h
+++ b/src/include/redwingwheel/control_state.h
@@ -38,7 +38,6 @@
     std::string service;
     std::uint32_t members = 1;
     std::uint32_t accelerators_per_member = 1;
-    std::uint32_t slots_per_member = 1;
     placement::cell_level adjacency = placement::cell_level::data_centre;
     placement::job_priority priority = placement::job_priority::normal;
     bool idempotent = false;
@@ -48,8 +47,8 @@
     std::string parameters;
 
     friend bool operator==(const job_description&, const job_description&) = default;
-    MSGPACK_DEFINE(id, account, service, members, accelerators_per_member, slots_per_member,
-                   adjacency, priority, idempotent, can_checkpoint, declared_run_ms, parameters)
+    MSGPACK_DEFINE(id, account, service, members, accelerators_per_member, adjacency, priority,
+                   idempotent, can_checkpoint, declared_run_ms, parameters)
 };
 
 enum class job_step : std::uint8_t { queued, placed, running, done, failed, cancelled, unknown };
--- a/src/libcontrol/control_service.cpp
+++ b/src/libcontrol/control_service.cpp
@@ -98,10 +98,6 @@
 
 absl::Status control_service::open_storage()
 {
-    const absl::Status prepared = this->files.prepare();
-    if (!prepared.ok()) {
-        return prepared;
-    }
     replication::replica_options options;
     options.address = this->settings.control.listen;
     options.data_centre = this->settings.data_centre;
--- a/src/libcontrol/controller.cpp
+++ b/src/libcontrol/controller.cpp
@@ -257,9 +257,12 @@
     if (!this->is_leading || !result.accepted) {
         return;
     }
-    // The leader that took the submission has queued the job already.
-    const absl::Status ignored = this->engine->submit(spec_of(of.job));
-    static_cast<void>(ignored);
+    const absl::Status queued = this->engine->submit(spec_of(of.job));
+    if (!queued.ok() &&
+        error_code<placement::placement_errc>(queued) == placement::placement_errc::never_fits) {
+        this->propose(end_job{of.job.id, job_step::failed, errors::message_of(queued),
+                              this->hooks.wall_clock_ms()});
+    }
 }
 
 void controller::on_applied(const cancel_job& of, const command_result& result, std::uint64_t)
@@ -540,28 +543,20 @@
 
 void controller::submit(const job_description& job, command_done done)
 {
-    const job_record* const known = this->state.find_job(job.id);
-    if (known == nullptr) {
-        const absl::Status queued = this->engine->submit(spec_of(job));
-        if (!queued.ok()) {
+    if (this->state.find_job(job.id) == nullptr) {
+        // Only asks whether the job can ever run: it is queued once its submission is applied, so
+        // that nothing is placed that the log does not know.
+        const absl::Status fits = this->engine->submit(spec_of(job));
+        if (!fits.ok()) {
             spdlog::info("event=placement_decision job={} outcome=refused reason=\"{}\"", job.id,
-                         errors::message_of(queued));
-            done(queued);
+                         errors::message_of(fits));
+            done(fits);
             return;
         }
+        const absl::Status ignored = this->engine->cancel(job.id);
+        static_cast<void>(ignored);
     }
-    const std::string id = job.id;
-    const bool added = known == nullptr;
-    this->hooks.propose(
-        submit_job{job, this->hooks.wall_clock_ms()},
-        [this, id, added, done = std::move(done)](absl::StatusOr<command_result> result) {
-            const bool refused = !result.ok() || !result->accepted;
-            if (refused && added && this->state.find_job(id) == nullptr) {
-                const absl::Status ignored = this->engine->cancel(id);
-                static_cast<void>(ignored);
-            }
-            done(std::move(result));
-        });
+    this->hooks.propose(submit_job{job, this->hooks.wall_clock_ms()}, std::move(done));
 }
 
 void controller::tick()
@@ -627,7 +622,8 @@
         record.worker = member.worker;
         record.incarnation = view == nullptr ? 0 : view->incarnation;
         record.accelerator_mask = member.accelerators;
-        record.slots = job->job.slots_per_member;
+        // Tasks are counted by their accelerators; slots are for requests.
+        record.slots = 0;
         placed.members.push_back(std::move(record));
     }
     this->propose(placed);
--- a/src/libcontrol/operator_json.cpp
+++ b/src/libcontrol/operator_json.cpp
@@ -13,7 +13,6 @@
 using nlohmann::json;
 
 constexpr std::size_t longest_job_id = 64;
-constexpr std::uint64_t most_slots_per_member = 1024;
 constexpr std::uint64_t longest_run_ms = 2'592'000'000;
 constexpr std::size_t longest_parameters = std::size_t{64} * 1024;
 
@@ -111,9 +110,9 @@
 
 void refuse_unknown_fields(const json& body, field_reader& reader)
 {
-    constexpr std::array<std::string_view, 10> known{
-        "id",        "account",  "service",         "members",    "accelerators_per_member",
-        "adjacency", "priority", "declared_run_ms", "parameters", "slots_per_member"};
+    constexpr std::array<std::string_view, 9> known{
+        "id",        "account",  "service",         "members",   "accelerators_per_member",
+        "adjacency", "priority", "declared_run_ms", "parameters"};
     for (const auto& item : body.items()) {
         if (std::find(known.begin(), known.end(), item.key()) == known.end()) {
             reader.refuse(item.key(), item.value(), "a field of docs/http-api.md");
@@ -247,7 +246,6 @@
             {"state", to_text(job.step)},
             {"members", job.job.members},
             {"accelerators_per_member", job.job.accelerators_per_member},
-            {"slots_per_member", job.job.slots_per_member},
             {"adjacency", placement::name_of(job.job.adjacency)},
             {"priority", placement::name_of(job.job.priority)},
             {"declared_run_ms", job.job.declared_run_ms},
@@ -342,11 +340,9 @@
     }
     std::uint64_t members = job.members;
     std::uint64_t accelerators = job.accelerators_per_member;
-    std::uint64_t slots = job.slots_per_member;
     reader.number("members", 1, placement::max_gang_members, members);
     reader.number("accelerators_per_member", 1, placement::max_accelerators_per_worker,
                   accelerators);
-    reader.number("slots_per_member", 0, most_slots_per_member, slots);
     reader.number("declared_run_ms", 0, longest_run_ms, job.declared_run_ms);
     reader.choice("adjacency", placement::cell_level::accelerator,
                   placement::cell_level::data_centre, job.adjacency);
@@ -354,7 +350,6 @@
                   job.priority);
     job.members = static_cast<std::uint32_t>(members);
     job.accelerators_per_member = static_cast<std::uint32_t>(accelerators);
-    job.slots_per_member = static_cast<std::uint32_t>(slots);
     job.parameters = body.contains("parameters") ? body["parameters"].dump() : "{}";
     if (job.parameters.size() > longest_parameters) {
         reader.refuse("parameters", fmt::format("{} bytes", job.parameters.size()),
