--- a/src/include/redwingwheel/release_note.h
+++ b/src/include/redwingwheel/release_note.h
@@ -110,6 +110,13 @@
     MSGPACK_DEFINE(note, base, added, changed, withdrawn)
 };
 
+/// 1 to 64 of A-Z a-z 0-9 . _ -, beginning with a letter or digit: the form of every name and
+/// identity.
+[[nodiscard]] bool is_name(std::string_view text);
+
+/// True when a YAML or JSON document has the key that every release note begins with.
+[[nodiscard]] bool looks_like_release_note(std::string_view text);
+
 /// Reads a note and checks it as a whole, as far as that is possible without the configuration.
 /// Errors: config_errc::bad_input with one problem for each finding.
 [[nodiscard]] absl::StatusOr<release_note> parse_release_note_yaml(std::string_view text,
--- a/src/libconfig/field_reader.cpp
+++ b/src/libconfig/field_reader.cpp
@@ -7,6 +7,7 @@
 #include <fmt/ranges.h>
 
 #include "redwingwheel/calendar.h"
+#include "redwingwheel/release_note.h"
 #include "redwingwheel/socket_address.h"
 
 namespace redwingwheel::config {
@@ -30,12 +31,6 @@
     return is_alphanumeric(letter) || letter == '.' || letter == '_' || letter == '-';
 }
 
-bool is_name(std::string_view text)
-{
-    return !text.empty() && text.size() <= max_name_bytes && is_alphanumeric(text.front()) &&
-           std::all_of(text.begin(), text.end(), is_name_letter);
-}
-
 bool is_digest(std::string_view text)
 {
     return text.size() == digest_digits && std::all_of(text.begin(), text.end(), [](char letter) {
@@ -70,6 +65,12 @@
 
 } // namespace
 
+bool is_name(std::string_view text)
+{
+    return !text.empty() && text.size() <= max_name_bytes && is_alphanumeric(text.front()) &&
+           std::all_of(text.begin(), text.end(), is_name_letter);
+}
+
 void field::reject(std::string_view allowed) const
 {
     this->problems->add(this->place, shown(this->node), allowed);
--- a/src/libconfig/release_note.cpp
+++ b/src/libconfig/release_note.cpp
@@ -129,6 +129,14 @@
     return starts.has_value() && ends.has_value() && *starts <= day && day < *ends;
 }
 
+bool looks_like_release_note(std::string_view text)
+{
+    problem_list ignored("");
+    const document_value document = read_yaml(text, ignored);
+    return std::any_of(document.entries.begin(), document.entries.end(),
+                       [](const map_entry& entry) { return entry.key == "note"; });
+}
+
 absl::StatusOr<release_note> parse_release_note_yaml(std::string_view text,
                                                      std::string_view file_name)
 {
