Let an agent come back after a late poll of its former process

Cause: incarnations are random, so they have no order. Ruled out: ordered incarnations, because an agent has no disk and wall clocks are not trusted. Change: a former incarnation is accepted again when its sequence rises, and the coordinator then takes the frozen end of that incarnation's lease back, because it gets permits again. With it, two smaller changes: a task's lease ends 50 ms before the permit's, since the backend server counts a renewal from its arrival, and a repeated reclaim cannot postpone the checkpoint's deadline. Conclusion: the worst effect of such a late poll is one gang that is broken for nothing.

--- a/src/include/redwingwheel/gang.h
+++ b/src/include/redwingwheel/gang.h
@@ -61,6 +61,9 @@
     std::uint32_t slots = 8;
     /// Accelerators of the worker, at most 64.
     std::uint32_t accelerators = 8;
+    /// A task's lease ends this much before the permit's: the backend server counts a renewal from
+    /// its arrival, so this bounds how long the delivery on one host may take.
+    milliseconds delivery_allowance{50};
     /// Time between two stop actions for a task that has not ended.
     milliseconds stop_period{500};
     /// Ended attempts that are remembered, so that late commands for them do nothing.
@@ -138,6 +141,7 @@
     void remember(const task_key& task);
     void check_deadlines(const task_key& task, task_state& state, actions& out);
     void try_start(const task_key& task, task_state& state, actions& out);
+    [[nodiscard]] steady_time task_lease_deadline() const;
     void begin_stop(const task_key& task, task_state& state, steady_time deadline, actions& out);
     void end(const task_key& task, task_state& state, task_outcome outcome);
 
@@ -210,7 +214,8 @@
     void on_worker_incarnation(std::string_view worker, std::uint64_t incarnation);
 
     /// Asks the members to checkpoint until `checkpoint_deadline` and stops them then, or earlier
-    /// when all have; an orderly stop may take until `stop_deadline`. Unknown jobs are ignored.
+    /// when all have; an orderly stop may take until `stop_deadline`. A repeated call can only
+    /// bring the checkpoint's deadline forward. Unknown jobs are ignored.
     void reclaim(std::string_view job, steady_time checkpoint_deadline, steady_time stop_deadline);
     void cancel(std::string_view job);
     void throttle(std::string_view job, std::uint32_t speed_percent);
--- a/src/include/redwingwheel/worker_table.h
+++ b/src/include/redwingwheel/worker_table.h
@@ -45,8 +45,9 @@
     /// Forgets a worker that was taken out of the inventory.
     void forget(std::string_view worker);
 
-    /// Notes a poll. Within an incarnation the sequence must rise; an incarnation that was followed
-    /// by another one is never accepted again.
+    /// Notes a poll. Within an incarnation the sequence must rise, also when another incarnation
+    /// has polled in between: incarnations are random numbers, so a late first poll of a former
+    /// process can look like a restart, and the living process must be able to come back after it.
     [[nodiscard]] poll_verdict poll(std::string_view worker, std::uint64_t incarnation,
                                     std::uint64_t sequence);
 
@@ -58,10 +59,15 @@
     [[nodiscard]] const worker_view* find(std::string_view worker) const;
 
 private:
+    struct former_incarnation {
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+    };
     struct entry {
         worker_view view;
-        std::vector<std::uint64_t> former_incarnations;
+        std::vector<former_incarnation> former;
     };
+    static bool change_incarnation(entry& known, std::uint64_t incarnation, std::uint64_t sequence);
 
     clock_function clock;
     permit_options options;
--- a/src/libmembership/gang_coordinator.cpp
+++ b/src/libmembership/gang_coordinator.cpp
@@ -207,11 +207,17 @@
     for (const std::string& job : jobs) {
         const auto gang = this->gangs.find(job);
         for (member_state& member : gang->second.members) {
-            const bool other =
-                member.record.incarnation != 0 && member.record.incarnation != incarnation;
-            if (member.record.worker == worker && other && !member.former_lease_end.has_value()) {
+            if (member.record.worker != worker || member.record.incarnation == 0) {
+                continue;
+            }
+            if (member.record.incarnation == incarnation) {
+                // The other incarnation was a late message of a former process: this one gets
+                // permits again, so its lease ends with the last of them.
+                member.former_lease_end.reset();
+            }
+            else if (!member.former_lease_end.has_value()) {
                 member.former_lease_end = former_end;
-                member.lost = member.at != member_step::ended;
+                member.lost = member.lost || member.at != member_step::ended;
             }
         }
         this->evaluate(job, gang->second);
@@ -227,7 +233,8 @@
     }
     gang->second.stop_deadline = stop_deadline;
     if (gang->second.phase == gang_phase::running) {
-        gang->second.checkpoint_deadline = checkpoint_deadline;
+        std::optional<steady_time>& known = gang->second.checkpoint_deadline;
+        known = std::min(known.value_or(checkpoint_deadline), checkpoint_deadline);
         this->evaluate(gang->first, gang->second);
     }
     else {
--- a/src/libmembership/gang_coordinator_test.cpp
+++ b/src/libmembership/gang_coordinator_test.cpp
@@ -165,6 +165,21 @@
     static_cast<void>(control.log<gang_ended>());
 }
 
+// Guards against a lease that is taken for ended while the agent goes on renewing it.
+TEST_CASE("a member whose incarnation returns is stopped and keeps its lease until then")
+{
+    fixture control;
+    control.release();
+    control.report_both(member_report_kind::running);
+    static_cast<void>(control.leader.commands_for("w1", 99));
+    control.clock.advance(2000ms);
+    CHECK(control.sends("w1", gang_command_kind::stop));
+    static_cast<void>(control.leader.commands_for("w2", 12));
+    control.clock.advance(2000ms);
+    control.leader.tick();
+    CHECK(control.log<gang_broken>().reason == gang_end_reason::member_lost);
+}
+
 // Guards against a new leader that loses a released gang or resumes a half reserved one.
 TEST_CASE("a new leader delivers a logged release and abandons what was only placed")
 {
--- a/src/libmembership/gang_member.cpp
+++ b/src/libmembership/gang_member.cpp
@@ -125,14 +125,19 @@
     }
 }
 
+steady_time gang_member::task_lease_deadline() const
+{
+    return this->permits.lease_deadline() - this->options.delivery_allowance;
+}
+
 void gang_member::try_start(const task_key& task, task_state& state, actions& out)
 {
     if (this->permits.withdrawn()) {
         this->end(task, state, task_outcome::not_run);
     }
-    else if (this->permits.may_start() && this->permits.lease_valid()) {
+    else if (this->permits.may_start() && this->clock() < this->task_lease_deadline()) {
         state.at = step::starting;
-        state.lease_deadline = this->permits.lease_deadline();
+        state.lease_deadline = this->task_lease_deadline();
         this->changed = true;
         out.push_back(start_task{task, state.accelerator_mask, state.slots, state.lease_deadline});
     }
@@ -248,8 +253,8 @@
         if (state.at == step::release_pending) {
             this->try_start(task, state, out);
         }
-        else if (held && this->permits.lease_deadline() > state.lease_deadline) {
-            state.lease_deadline = this->permits.lease_deadline();
+        else if (held && this->task_lease_deadline() > state.lease_deadline) {
+            state.lease_deadline = this->task_lease_deadline();
             out.push_back(renew_lease{task, state.lease_deadline});
         }
         else if (state.at == step::stopping && now >= state.next_stop) {
--- a/src/libmembership/worker_table.cpp
+++ b/src/libmembership/worker_table.cpp
@@ -40,24 +40,15 @@
     this->expect(worker);
     entry& known = this->workers.find(worker)->second;
     poll_verdict verdict;
-    if (known.view.incarnation == incarnation) {
-        if (sequence <= known.view.sequence) {
+    if (known.view.incarnation != incarnation) {
+        if (!change_incarnation(known, incarnation, sequence)) {
             return verdict;
         }
-    }
-    else {
-        std::vector<std::uint64_t>& former = known.former_incarnations;
-        if (std::find(former.begin(), former.end(), incarnation) != former.end()) {
-            return verdict;
-        }
-        if (known.view.incarnation != 0) {
-            former.push_back(known.view.incarnation);
-        }
-        if (former.size() > remembered_incarnations) {
-            former.erase(former.begin());
-        }
         verdict.new_incarnation = true;
     }
+    else if (sequence <= known.view.sequence) {
+        return verdict;
+    }
     verdict.accepted = true;
     verdict.returned = known.view.lost;
     known.view.incarnation = incarnation;
@@ -67,6 +58,28 @@
     return verdict;
 }
 
+/// False when the poll is a replay of a former incarnation's.
+bool worker_table::change_incarnation(entry& known, std::uint64_t incarnation,
+                                      std::uint64_t sequence)
+{
+    const auto found = std::find_if(
+        known.former.begin(), known.former.end(),
+        [incarnation](const former_incarnation& each) { return each.incarnation == incarnation; });
+    if (found != known.former.end()) {
+        if (sequence <= found->sequence) {
+            return false;
+        }
+        known.former.erase(found);
+    }
+    if (known.view.incarnation != 0) {
+        known.former.push_back({known.view.incarnation, known.view.sequence});
+    }
+    if (known.former.size() > remembered_incarnations) {
+        known.former.erase(known.former.begin());
+    }
+    return true;
+}
+
 std::vector<std::string> worker_table::take_lost()
 {
     std::vector<std::string> lost;
