--- a/src/include/redwingwheel/router.h
+++ b/src/include/redwingwheel/router.h
@@ -50,13 +50,15 @@
     /// Share of its traffic that an agent gets at the start of its ramp.
     double ramp_floor = 0.1;
     /// An agent whose share of errors exceeds the average by this much gets probes only.
-    double suspend_error_share = 0.5;
+    double suspend_error_share = 0.25;
     milliseconds first_probe_after{1'000};
     milliseconds last_probe_after{30'000};
     /// Time in which a share of errors that nothing refreshes falls to half.
-    milliseconds error_half_life{20'000};
-    /// Milliseconds of score that an error share of 1 costs.
+    milliseconds error_half_life{10'000};
+    /// Milliseconds of score that an error share of 1 above the average costs.
     double error_penalty_ms = 2'000.0;
+    /// An excess of errors below this costs nothing: a single failure is no sign of a bad worker.
+    double errors_tolerated = 0.12;
     /// Pause after a refusal, doubled on each further one up to the bound.
     milliseconds refusal_pause{20};
     milliseconds refusal_pause_bound{500};
@@ -152,8 +154,10 @@
     [[nodiscard]] skip_reason reason_to_skip(const agent_state& agent, const request_info& request,
                                              worker_list excluded) const;
     [[nodiscard]] skip_reason reason_to_wait(const agent_state& agent);
+    [[nodiscard]] bool still_suspended(const agent_state& agent) const;
     [[nodiscard]] bool probe_due(const agent_state& agent, const request_info& request) const;
     [[nodiscard]] double decayed_errors(const agent_state& agent) const;
+    [[nodiscard]] double error_penalty_ms(const agent_state& agent) const;
     [[nodiscard]] double excess_errors(const agent_state& agent) const;
     [[nodiscard]] double score_ms(const agent_state& agent, const request_info& request) const;
     [[nodiscard]] double wait_ms(const agent_state& agent, const request_info& request) const;
--- a/src/librequest/router.cpp
+++ b/src/librequest/router.cpp
@@ -1,7 +1,6 @@
 #include "redwingwheel/router.h"
 
 #include <algorithm>
-#include <cmath>
 #include <numeric>
 
 namespace redwingwheel::request {
@@ -12,8 +11,6 @@
 /// Share of the errors that remains after a probe that went well; a few of them end a suspension.
 constexpr double errors_after_good_probe = 0.5;
 constexpr double fleet_weight = 0.05;
-/// Run time in milliseconds assumed before any agent has reported one, by request_class.
-constexpr std::array<double, class_count> assumed_run_ms{10.0, 200.0, 2'000.0};
 /// Random picks for one choice. Enough to find two usable agents when a third of them is usable;
 /// after that the whole list is searched.
 constexpr std::uint32_t picks_bound = 12;
@@ -103,7 +100,8 @@
     chosen.data_centre = agent->info.data_centre;
     chosen.incarnation = agent->info.incarnation;
     chosen.priority = request.priority;
-    chosen.probe = agent->suspended && this->options.policy == routing_policy::estimated_load;
+    chosen.probe =
+        this->still_suspended(*agent) && this->options.policy == routing_policy::estimated_load;
     made.chosen = std::move(chosen);
     return made;
 }
@@ -131,7 +129,7 @@
 skip_reason router::reason_to_wait(const agent_state& agent)
 {
     const steady_time now = this->clock();
-    if (agent.suspended) {
+    if (this->still_suspended(agent)) {
         return skip_reason::suspended;
     }
     if (agent.paused_until > now) {
@@ -148,10 +146,16 @@
     return skip_reason::none;
 }
 
+bool router::still_suspended(const agent_state& agent) const
+{
+    // Time alone lifts a suspension too: claimed work sends no probes that could lift it.
+    return agent.suspended && this->excess_errors(agent) > this->options.errors_tolerated;
+}
+
 bool router::probe_due(const agent_state& agent, const request_info& request) const
 {
     // Claimed work is never risked on a probe: its failure could not be retried.
-    return agent.suspended && !agent.probing && agent.next_probe <= this->clock() &&
+    return this->still_suspended(agent) && !agent.probing && agent.next_probe <= this->clock() &&
            !request.claim_incarnation.has_value();
 }
 
@@ -199,7 +203,7 @@
 {
     agent_state* const near =
         this->local.empty() ? nullptr : this->best_of(this->local, request, excluded, record);
-    if (near != nullptr && near->suspended) {
+    if (near != nullptr && this->still_suspended(*near)) {
         return near;
     }
     const double near_score = near == nullptr ? 0.0 : this->score_ms(*near, request);
@@ -214,7 +218,8 @@
     if (far == nullptr) {
         return near != nullptr ? near : this->choose_any(request, excluded, record);
     }
-    if (near == nullptr || far->suspended || this->score_ms(*far, request) < near_score) {
+    if (near == nullptr || this->still_suspended(*far) ||
+        this->score_ms(*far, request) < near_score) {
         return far;
     }
     return near;
@@ -230,7 +235,7 @@
     for (agent_state* const agent : this->all) {
         const skip_reason reason = this->reason_to_skip(*agent, request, excluded);
         if (reason != skip_reason::none ||
-            (agent->suspended && request.claim_incarnation.has_value())) {
+            (this->still_suspended(*agent) && request.claim_incarnation.has_value())) {
             continue;
         }
         const double score = this->score_ms(*agent, request);
@@ -281,76 +286,6 @@
     }
 }
 
-double router::run_ms(const agent_state& agent, request_class priority) const
-{
-    const std::size_t index = index_of(priority);
-    if (agent.info.load.duration_ms[index] > 0.0) {
-        return agent.info.load.duration_ms[index];
-    }
-    return this->fleet_duration_ms[index] > 0.0 ? this->fleet_duration_ms[index]
-                                                : assumed_run_ms[index];
-}
-
-double router::wait_ms(const agent_state& agent, const request_info& request) const
-{
-    const load_report& load = agent.info.load;
-    double running = 0.0;
-    double ends_per_ms = 0.0;
-    double ahead = 0.0;
-    for (std::size_t index = 0; index < class_count; ++index) {
-        const double sent_since = static_cast<double>(agent.in_flight[index]) -
-                                  static_cast<double>(agent.in_flight_at_report[index]);
-        const double reported = load.running[index] + load.queued[index];
-        // The agent has at least what this entry has sent and not got back.
-        const double present =
-            std::max(static_cast<double>(agent.in_flight[index]), reported + sent_since);
-        const double now_running =
-            std::min(present, static_cast<double>(load.running[index]) + std::max(0.0, sent_since));
-        running += now_running;
-        ends_per_ms += now_running / this->run_ms(agent, static_cast<request_class>(index));
-        if (index <= index_of(request.priority)) {
-            ahead += present - now_running;
-        }
-    }
-    double slots = std::max(1.0, static_cast<double>(load.slots) - load.held_slots);
-    if (request.priority == request_class::batch && slots > 1.0) {
-        slots -= 1.0;
-    }
-    const double over = running + ahead + std::max<std::uint32_t>(1, request.slots) - slots;
-    if (over <= 0.0 || ends_per_ms <= 0.0) {
-        return 0.0;
-    }
-    // Attempts beyond the slots wait and end nothing.
-    return over / (ends_per_ms * std::min(1.0, slots / running));
-}
-
-double router::score_ms(const agent_state& agent, const request_info& request) const
-{
-    const bool near = agent.info.data_centre == this->options.local_data_centre;
-    const double link = near ? 0.0 : in_ms(this->options.link_cost);
-    return link + this->wait_ms(agent, request) + this->run_ms(agent, request.priority) +
-           this->excess_errors(agent) * this->options.error_penalty_ms;
-}
-
-double router::decayed_errors(const agent_state& agent) const
-{
-    const double halvings =
-        in_ms(this->clock() - agent.errors_changed_at) / in_ms(this->options.error_half_life);
-    return agent.error_share * std::exp2(-std::max(0.0, halvings));
-}
-
-double router::excess_errors(const agent_state& agent) const
-{
-    // A service that fails everywhere raises the average and is not held against single agents.
-    // An agent without others is not held to an average.
-    const double others = static_cast<double>(this->agents.size()) - 1.0;
-    if (others <= 0.0) {
-        return 0.0;
-    }
-    const double average = std::max(0.0, this->error_sum - agent.error_share) / others;
-    return std::max(0.0, this->decayed_errors(agent) - average);
-}
-
 void router::set_errors(agent_state& agent, double share)
 {
     this->error_sum += share - agent.error_share;
@@ -413,7 +348,8 @@
     if (made.probe) {
         this->note_probe(agent, failed);
     }
-    else if (!agent.suspended && this->excess_errors(agent) > this->options.suspend_error_share) {
+    else if (!this->still_suspended(agent) &&
+             this->excess_errors(agent) > this->options.suspend_error_share) {
         agent.suspended = true;
         agent.probe_pause = this->options.first_probe_after;
         agent.next_probe = now + agent.probe_pause;
@@ -429,7 +365,7 @@
     else {
         this->set_errors(agent, agent.error_share * errors_after_good_probe);
         agent.probe_pause = this->options.first_probe_after;
-        agent.suspended = this->excess_errors(agent) > this->options.suspend_error_share / 2.0;
+        agent.suspended = this->still_suspended(agent);
     }
     agent.next_probe = this->clock() + agent.probe_pause;
 }
@@ -450,42 +386,4 @@
     return found == this->agents.end() ? 0.0 : this->decayed_errors(found->second);
 }
 
-std::string_view to_string(routing_policy policy)
-{
-    switch (policy) {
-    case routing_policy::estimated_load:
-        return "estimated_load";
-    case routing_policy::random:
-        return "random";
-    case routing_policy::round_robin:
-        return "round_robin";
-    case routing_policy::least_connections:
-        return "least_connections";
-    }
-    return "invalid";
-}
-
-std::string_view to_string(skip_reason reason)
-{
-    switch (reason) {
-    case skip_reason::none:
-        return "none";
-    case skip_reason::excluded:
-        return "excluded";
-    case skip_reason::no_permit:
-        return "no_permit";
-    case skip_reason::shutting_down:
-        return "shutting_down";
-    case skip_reason::service_not_offered:
-        return "service_not_offered";
-    case skip_reason::ramping:
-        return "ramping";
-    case skip_reason::suspended:
-        return "suspended";
-    case skip_reason::refused_lately:
-        return "refused_lately";
-    }
-    return "invalid";
-}
-
 } // namespace redwingwheel::request
--- /dev/null
+++ b/src/librequest/router_score.cpp
@@ -0,0 +1,140 @@
+#include "redwingwheel/router.h"
+
+#include <algorithm>
+#include <cmath>
+
+/// The expected time until an agent answers, and the words of the decision record.
+namespace redwingwheel::request {
+
+namespace {
+
+/// Run time in milliseconds assumed before any agent has reported one, by request_class.
+constexpr std::array<double, class_count> assumed_run_ms{10.0, 200.0, 2'000.0};
+
+double in_ms(std::chrono::nanoseconds length)
+{
+    return std::chrono::duration<double, std::milli>(length).count();
+}
+
+std::size_t index_of(request_class priority)
+{
+    return static_cast<std::size_t>(priority);
+}
+
+} // namespace
+
+double router::run_ms(const agent_state& agent, request_class priority) const
+{
+    const std::size_t index = index_of(priority);
+    if (agent.info.load.duration_ms[index] > 0.0) {
+        return agent.info.load.duration_ms[index];
+    }
+    return this->fleet_duration_ms[index] > 0.0 ? this->fleet_duration_ms[index]
+                                                : assumed_run_ms[index];
+}
+
+double router::wait_ms(const agent_state& agent, const request_info& request) const
+{
+    const load_report& load = agent.info.load;
+    double running = 0.0;
+    double ends_per_ms = 0.0;
+    double ahead = 0.0;
+    for (std::size_t index = 0; index < class_count; ++index) {
+        const double sent_since = static_cast<double>(agent.in_flight[index]) -
+                                  static_cast<double>(agent.in_flight_at_report[index]);
+        const double reported = load.running[index] + load.queued[index];
+        // The agent has at least what this entry has sent and not got back.
+        const double present =
+            std::max(static_cast<double>(agent.in_flight[index]), reported + sent_since);
+        const double now_running =
+            std::min(present, static_cast<double>(load.running[index]) + std::max(0.0, sent_since));
+        running += now_running;
+        ends_per_ms += now_running / this->run_ms(agent, static_cast<request_class>(index));
+        if (index <= index_of(request.priority)) {
+            ahead += present - now_running;
+        }
+    }
+    double slots = std::max(1.0, static_cast<double>(load.slots) - load.held_slots);
+    if (request.priority == request_class::batch && slots > 1.0) {
+        slots -= 1.0;
+    }
+    const double over = running + ahead + std::max<std::uint32_t>(1, request.slots) - slots;
+    if (over <= 0.0 || ends_per_ms <= 0.0) {
+        return 0.0;
+    }
+    // Attempts beyond the slots wait and end nothing.
+    return over / (ends_per_ms * std::min(1.0, slots / running));
+}
+
+double router::score_ms(const agent_state& agent, const request_info& request) const
+{
+    const bool near = agent.info.data_centre == this->options.local_data_centre;
+    const double link = near ? 0.0 : in_ms(this->options.link_cost);
+    return link + this->wait_ms(agent, request) + this->run_ms(agent, request.priority) +
+           this->error_penalty_ms(agent);
+}
+
+double router::error_penalty_ms(const agent_state& agent) const
+{
+    const double excess = this->excess_errors(agent);
+    return excess > this->options.errors_tolerated ? excess * this->options.error_penalty_ms : 0.0;
+}
+
+double router::decayed_errors(const agent_state& agent) const
+{
+    const double halvings =
+        in_ms(this->clock() - agent.errors_changed_at) / in_ms(this->options.error_half_life);
+    return agent.error_share * std::exp2(-std::max(0.0, halvings));
+}
+
+double router::excess_errors(const agent_state& agent) const
+{
+    // A service that fails everywhere raises the average and is not held against single agents.
+    // An agent without others is not held to an average.
+    const double others = static_cast<double>(this->agents.size()) - 1.0;
+    if (others <= 0.0) {
+        return 0.0;
+    }
+    const double average = std::max(0.0, this->error_sum - agent.error_share) / others;
+    return std::max(0.0, this->decayed_errors(agent) - average);
+}
+
+std::string_view to_string(routing_policy policy)
+{
+    switch (policy) {
+    case routing_policy::estimated_load:
+        return "estimated_load";
+    case routing_policy::random:
+        return "random";
+    case routing_policy::round_robin:
+        return "round_robin";
+    case routing_policy::least_connections:
+        return "least_connections";
+    }
+    return "invalid";
+}
+
+std::string_view to_string(skip_reason reason)
+{
+    switch (reason) {
+    case skip_reason::none:
+        return "none";
+    case skip_reason::excluded:
+        return "excluded";
+    case skip_reason::no_permit:
+        return "no_permit";
+    case skip_reason::shutting_down:
+        return "shutting_down";
+    case skip_reason::service_not_offered:
+        return "service_not_offered";
+    case skip_reason::ramping:
+        return "ramping";
+    case skip_reason::suspended:
+        return "suspended";
+    case skip_reason::refused_lately:
+        return "refused_lately";
+    }
+    return "invalid";
+}
+
+} // namespace redwingwheel::request
