Compare numbers of choices in redwingwheel-bench-routing

Cause: the number of agents compared in a choice was not measured. Ruled out: nothing; two stays the default here.

--- a/src/redwingwheel-bench-routing/simulation.cpp
+++ b/src/redwingwheel-bench-routing/simulation.cpp
@@ -23,6 +23,8 @@
 /// The faulty worker: the first of the first data centre.
 constexpr std::size_t faulty_worker = 0;
 constexpr std::uint32_t withdrawn_data_centre = 2;
+/// Agents do not restart here.
+constexpr request::incarnation_id incarnation = 1;
 constexpr std::array<std::string_view, class_count> service_names{"price-check", "inspection",
                                                                   "recount"};
 
@@ -68,6 +70,7 @@
             this->worker_index.emplace(worker.name, index);
             request::admission_options options;
             options.slots = slots_per_worker;
+            options.incarnation = incarnation;
             if (this->settings.plain_queue) {
                 options.slots_kept_from_batch = 0;
                 options.account_queue_share = 1.0;
@@ -84,6 +87,7 @@
     for (std::uint32_t index = 0; index < workers_per_data_centre.size(); ++index) {
         request::router_options options;
         options.policy = this->settings.policy;
+        options.choices = this->settings.choices;
         options.local_data_centre = data_centre_name(index);
         request::retry_options retrying;
         retrying.hedging = this->settings.hedging;
@@ -148,7 +152,7 @@
     request::agent_info info;
     info.worker = from.name;
     info.data_centre = data_centre_name(from.data_centre);
-    info.incarnation = 1;
+    info.incarnation = incarnation;
     info.may_start = !from.withdrawn;
     info.ramp_deadline = from.ramp_deadline;
     info.load = from.queue->load();
@@ -204,6 +208,10 @@
     info.service = service_names[static_cast<std::size_t>(from.from.priority)];
     info.priority = from.from.priority;
     info.deadline = from.deadline;
+    // Recounts, the batch class, are not idempotent and hold a claim.
+    if (from.from.priority == request_class::batch) {
+        info.claim_incarnation = incarnation;
+    }
     info.expected_duration = milliseconds(static_cast<std::int64_t>(from.from.declared_ms));
     return info;
 }
@@ -348,7 +356,6 @@
     question.outcome = outcome;
     question.cause = outcome == request::outcome_kind::not_run ? request::end_cause::refused
                                                                : request::end_cause::failed;
-    // Recounts, the batch class, are not idempotent.
     question.idempotent = made.from.priority != request_class::batch;
     question.tries_so_far = made.tries;
     question.deadline = made.deadline;
--- a/src/redwingwheel-bench-routing/simulation.h
+++ b/src/redwingwheel-bench-routing/simulation.h
@@ -34,6 +34,8 @@
     /// Reports reach the entries each 500 ms only; answers carry no load.
     bool polls_only = false;
     bool hedging = false;
+    /// Agents compared per choice.
+    std::uint32_t choices = request::router_options{}.choices;
 };
 
 struct class_outcome {
