--- a/src/libplacement/claims.cpp
+++ b/src/libplacement/claims.cpp
@@ -97,10 +97,8 @@
     }
     gang_request request = this->request_of(job);
     request.avoided = job.failed_on;
+    // No part of another account's cell: its owner could not take back what is promised here.
     std::optional<gang_parts> found = this->search.find_with(request, capacity_view::common, own);
-    if (!found.has_value() && request.may_borrow) {
-        found = this->search.find_with(request, capacity_view::lendable, own);
-    }
     if (!found.has_value()) {
         return false;
     }
@@ -139,7 +137,6 @@
 bool engine::implementation::overrule_reservations(job_slot slot, std::vector<decision>& out)
 {
     const job_record& job = this->jobs[slot];
-    const own_cells& own = this->book.cells_of(job.spec.account);
     extra_capacity reserved;
     for (const job_slot claimant : this->claimants) {
         const job_record& reserver = this->jobs[claimant];
@@ -149,11 +146,8 @@
         }
         for (const host_part& part : reserver.claimed) {
             const host_state& host = this->tree.host(part.host);
-            const auto mine = own.find(part.host);
-            const accelerator_mask kept =
-                this->is_stoppable(job.spec) ? host.closed
-                                             : host.owned & ~(mine == own.end() ? 0 : mine->second);
-            const accelerator_mask open = part.accelerators & ~host.held & ~kept;
+            const accelerator_mask open =
+                part.accelerators & ~host.held & ~this->kept_from(job.spec, part.host);
             if (open != 0) {
                 reserved[part.host] |= open;
             }
@@ -182,7 +176,6 @@
     }
     const steady_time now = this->clock();
     const steady_time end = now + this->remaining_run_time(job);
-    const own_cells& own = this->book.cells_of(job.spec.account);
     for (const job_slot claimant : this->claimants) {
         const job_record& reserver = this->jobs[claimant];
         if (reserver.claim != claim_kind::reservation ||
@@ -195,13 +188,8 @@
         std::uint32_t room = 0;
         for (const host_part& part : reserver.claimed) {
             const host_state& host = this->tree.host(part.host);
-            const auto mine = own.find(part.host);
-            const bool is_owner = job.spec.priority != job_priority::low;
-            const accelerator_mask kept =
-                this->is_stoppable(job.spec)
-                    ? host.closed
-                    : host.owned & ~(mine == own.end() || !is_owner ? 0 : mine->second);
-            const accelerator_mask open = part.accelerators & ~host.held & ~kept;
+            const accelerator_mask open =
+                part.accelerators & ~host.held & ~this->kept_from(job.spec, part.host);
             if (open != 0 && this->tree.is_available(part.host)) {
                 capacity[part.host] |= open;
                 room += count_of(open);
--- a/src/libplacement/decide.cpp
+++ b/src/libplacement/decide.cpp
@@ -107,6 +107,16 @@
                    job.record});
 }
 
+/// A reservation inside another account's cell ends when that cell is closed for its owner.
+bool engine::implementation::is_shut_out(const job_record& job) const
+{
+    return job.claim == claim_kind::reservation &&
+           std::any_of(job.claimed.begin(), job.claimed.end(), [&](const host_part& part) {
+               return (part.accelerators & this->tree.host(part.host).closed &
+                       ~this->owned_by(job.spec, part.host)) != 0;
+           });
+}
+
 void engine::implementation::start_claimants(std::vector<decision>& out)
 {
     const steady_time now = this->clock();
@@ -114,6 +124,10 @@
         if (this->jobs[slot].claim == claim_kind::none || !this->jobs[slot].parts.empty()) {
             continue;
         }
+        if (this->is_shut_out(this->jobs[slot])) {
+            this->drop_claim(slot);
+            continue;
+        }
         bool ready = true;
         bool only_backfill = true;
         std::set<job_slot> in_the_way;
@@ -281,13 +295,10 @@
     if (!this->rules.whole_gangs && parts.size() > 1) {
         parts.pop_back();
     }
-    const own_cells& own = this->book.cells_of(job.spec.account);
     job.parts = std::move(parts);
     for (const host_part& part : job.parts) {
         this->tree.hold(part, slot);
-        const auto mine = own.find(part.host);
-        const bool is_owner = job.spec.priority != job_priority::low;
-        const accelerator_mask ours = mine == own.end() || !is_owner ? 0 : mine->second;
+        const accelerator_mask ours = this->owned_by(job.spec, part.host);
         job.uses_guarantee = job.uses_guarantee || (ours & part.accelerators) != 0;
         job.borrowed =
             job.borrowed || (this->tree.host(part.host).owned & ~ours & part.accelerators) != 0;
--- a/src/libplacement/engine.cpp
+++ b/src/libplacement/engine.cpp
@@ -92,7 +92,8 @@
         return make_error(placement_errc::unknown_data_centre,
                           fmt::format("data centre \"{}\"", data_centre));
     }
-    if (state.tree.data_centre(index).state == wanted) {
+    const bool ignored = wanted == data_centre_state::withdrawn && !state.rules.respect_withdrawal;
+    if (state.tree.data_centre(index).state == wanted || ignored) {
         return absl::OkStatus();
     }
     if (wanted == data_centre_state::in_service) {
--- a/src/libplacement/engine_state.h
+++ b/src/libplacement/engine_state.h
@@ -91,6 +91,8 @@
     // guarding.cpp: cells, claims and quarantine against changes of the inventory.
     void settle();
     occupancy occupancy_of(host_index host, accelerator_mask mask, std::string_view account) const;
+    accelerator_mask owned_by(const job_spec& job, host_index host) const;
+    accelerator_mask kept_from(const job_spec& job, host_index host) const;
     void apply_cells();
     void update_closed();
     void revalidate_claims();
@@ -104,6 +106,7 @@
     std::vector<decision> decide();
     void emit_stops(std::vector<decision>& out);
     void emit_refusals(std::vector<decision>& out);
+    bool is_shut_out(const job_record& job) const;
     void start_claimants(std::vector<decision>& out);
     void scan_queue(std::vector<decision>& out);
     bool place(job_slot slot, bool search_is_useless, std::vector<decision>& out);
--- a/src/libplacement/guarding.cpp
+++ b/src/libplacement/guarding.cpp
@@ -125,17 +125,33 @@
     }
 }
 
+/// The account's cells on a host, as far as the job uses them as their owner.
+accelerator_mask engine::implementation::owned_by(const job_spec& job, host_index host) const
+{
+    if (job.priority == job_priority::low) {
+        return 0;
+    }
+    const own_cells& own = this->book.cells_of(job.account);
+    const auto mine = own.find(host);
+    return mine == own.end() ? 0 : mine->second;
+}
+
+/// What guarantees keep from the job on a host.
+accelerator_mask engine::implementation::kept_from(const job_spec& job, host_index host) const
+{
+    const host_state& asked = this->tree.host(host);
+    return (this->is_stoppable(job) ? asked.closed : asked.owned) & ~this->owned_by(job, host);
+}
+
 /// A claim stands while its workers are available and the guarantees still allow it.
 bool engine::implementation::claim_is_valid(const job_record& job) const
 {
-    const own_cells& own = this->book.cells_of(job.spec.account);
     for (const host_part& part : job.claimed) {
         if (!this->tree.is_available(part.host)) {
             return false;
         }
-        const auto mine = own.find(part.host);
         const accelerator_mask owned_by_others =
-            this->tree.host(part.host).owned & ~(mine == own.end() ? 0 : mine->second);
+            this->tree.host(part.host).owned & ~this->owned_by(job.spec, part.host);
         const bool may_borrow =
             job.claim == claim_kind::reservation && this->is_stoppable(job.spec);
         if ((owned_by_others & part.accelerators) != 0 && !may_borrow) {
--- a/src/libplacement/reservation.cpp
+++ b/src/libplacement/reservation.cpp
@@ -24,14 +24,7 @@
         std::binary_search(this->job.failed_on.begin(), this->job.failed_on.end(), index)) {
         return 0;
     }
-    accelerator_mask kept = host.closed;
-    if (!this->state.is_stoppable(this->job.spec)) {
-        const own_cells& own = this->state.book.cells_of(this->job.spec.account);
-        const auto mine = own.find(index);
-        const bool is_owner = this->job.spec.priority != job_priority::low;
-        kept |= host.owned & ~(mine == own.end() || !is_owner ? 0 : mine->second);
-    }
-    return host.all & ~host.claimed & ~kept;
+    return host.all & ~host.claimed & ~this->state.kept_from(this->job.spec, index);
 }
 
 /// Member slots of a host, earliest first; for a group, only the one group that is free first.
