--- a/src/redwingwheelctl/command_line.cpp
+++ b/src/redwingwheelctl/command_line.cpp
@@ -30,7 +30,6 @@
     {"account", "NAME", "account of the job; for operators"},
     {"members", "N", "members of the gang"},
     {"accelerators", "N", "accelerators of each member"},
-    {"slots", "N", "slots of each member"},
     {"adjacency", "LEVEL", "accelerator, group, host, rack or data_centre"},
     {"priority", "P", "urgent, normal or low"},
     {"run-ms", "N", "declared run time"},
--- a/src/redwingwheelctl/job_commands.cpp
+++ b/src/redwingwheelctl/job_commands.cpp
@@ -24,7 +24,7 @@
 {
     for (const std::string_view key :
          {"id", "account", "service", "state", "reason", "members", "accelerators_per_member",
-          "slots_per_member", "adjacency", "priority", "workers", "starts", "cancel_requested",
+          "adjacency", "priority", "workers", "starts", "cancel_requested",
           "borrowed", "uses_guarantee", "submitted_unix_ms", "started_unix_ms", "ended_unix_ms"}) {
         out << fmt::format("{:<24} {}\n", key, text_of(job, key));
     }
@@ -85,7 +85,6 @@
     add_word(context, job, "priority", priorities, bad);
     add_number(context, job, "members", "members", 1, 512, bad);
     add_number(context, job, "accelerators_per_member", "accelerators", 1, 64, bad);
-    add_number(context, job, "slots_per_member", "slots", 0, 1024, bad);
     add_number(context, job, "declared_run_ms", "run-ms", 0, max_run_ms, bad);
     add_parameters(context, job, bad);
     if (!context.line.has("service")) {
@@ -193,7 +192,7 @@
          {},
          "Submit a job",
          "Without --id an identity is drawn. After a lost answer submit again with the same --id.",
-         {"service", "id", "account", "members", "accelerators", "slots", "adjacency", "priority",
+         {"service", "id", "account", "members", "accelerators", "adjacency", "priority",
           "run-ms", "parameters"},
          {"job submit --service recounts --accelerators 4 --adjacency group",
           "job submit --service timetable-builds --members 4 --accelerators 2 --adjacency rack "
