Ignore the scatter of reported run times in routing

Cause: with more agents compared, inspections waited longer. Reported run times are averages of a few runs and scatter by a quarter, 30 ms for inspections, which outweighs the waits that are compared: the router preferred agents with a short streak. Ruled out: a slower average at the agent, because a worker that turns slow would be noticed later. Change: a reported run time within a factor of 2 of the average of all agents counts as that average.

--- a/src/librequest/router_score.cpp
+++ b/src/librequest/router_score.cpp
@@ -11,6 +11,11 @@
 /// Run time in milliseconds assumed before any agent has reported one, by request_class.
 constexpr std::array<double, class_count> assumed_run_ms{10.0, 200.0, 2'000.0};
 
+/// A reported run time within this factor of the average of all agents counts as the average. The
+/// average of a few runs scatters that much without any difference between the workers, and the
+/// scatter would outweigh the waits that are to be compared.
+constexpr double usual_factor = 2.0;
+
 double in_ms(std::chrono::nanoseconds length)
 {
     return std::chrono::duration<double, std::milli>(length).count();
@@ -26,11 +31,11 @@
 double router::run_ms(const agent_state& agent, request_class priority) const
 {
     const std::size_t index = index_of(priority);
-    if (agent.info.load.duration_ms[index] > 0.0) {
-        return agent.info.load.duration_ms[index];
-    }
-    return this->fleet_duration_ms[index] > 0.0 ? this->fleet_duration_ms[index]
-                                                : assumed_run_ms[index];
+    const double reported = agent.info.load.duration_ms[index];
+    const double fleet = this->fleet_duration_ms[index] > 0.0 ? this->fleet_duration_ms[index]
+                                                              : assumed_run_ms[index];
+    const bool usual = reported < fleet * usual_factor && reported * usual_factor > fleet;
+    return reported <= 0.0 || usual ? fleet : reported;
 }
 
 double router::wait_ms(const agent_state& agent, const request_info& request) const
