Show answers' headers to callers and keep their connections

Cause: the first run of the example stopped at the first request: the answer carried no X-Outcome. Pistache leaves untyped headers out of an answer, and announces a close to every HTTP/1.1 caller that does not ask for the default. Ruled out: sending the outcome in the body, because the body belongs to the backend server. Change: headers go out as typed ones, and the connection is kept as HTTP/1.1 says.

--- a/examples/run.sh
+++ b/examples/run.sh
@@ -11,7 +11,7 @@
     ;;
 planner | relink)
     example=planner
-    account=depot-norte quick=driver-hours-checks gang=timetable-builds once=coach-allocations
+    account=northline quick=driver-hours-checks gang=timetable-builds once=coach-allocations
     ;;
 *)
     echo "EXAMPLE: value $example: allowed inspector, planner or relink" >&2
@@ -55,7 +55,7 @@
 say "taking dc2 out while requests go on"
 failed=0
 (for n in $(seq 40); do
-    ctl "$account" request send "$quick" --file "$deployment_dir/question" > /dev/null || exit 1
+    ctl "$account" request send "$quick" --file "$deployment_dir/question" &> /dev/null || exit 1
 done) &
 traffic=$!
 ctl ops datacentre withdraw dc2 --wait
--- a/src/include/redwingwheel/http_client.h
+++ b/src/include/redwingwheel/http_client.h
@@ -24,6 +24,7 @@
 struct client_response {
     int status = 0;
     std::string content_type;
+    header_map headers;
     std::string body;
 };
 
--- a/src/libhttp/http_client.cpp
+++ b/src/libhttp/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cctype>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -49,6 +50,25 @@
     return bytes;
 }
 
+std::size_t on_header(char* data, std::size_t size, std::size_t count, void* user)
+{
+    transfer& to = *static_cast<transfer*>(user);
+    const std::string_view line(data, size * count);
+    const std::size_t colon = line.find(':');
+    if (colon != std::string_view::npos) {
+        std::string name(line.substr(0, colon));
+        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char letter) {
+            return static_cast<char>(std::tolower(letter));
+        });
+        const std::size_t begin = line.find_first_not_of(" \t", colon + 1);
+        const std::size_t end = line.find_last_not_of(" \t\r\n");
+        if (begin != std::string_view::npos && end >= begin) {
+            to.response.headers[name] = line.substr(begin, end - begin + 1);
+        }
+    }
+    return size * count;
+}
+
 /// Reads the status and the type that the handle holds after a whole answer.
 void read_outcome(transfer& of)
 {
@@ -99,6 +119,8 @@
     curl_easy_setopt(of.handle, CURLOPT_HTTPHEADER, of.headers);
     curl_easy_setopt(of.handle, CURLOPT_WRITEFUNCTION, on_body);
     curl_easy_setopt(of.handle, CURLOPT_WRITEDATA, &of);
+    curl_easy_setopt(of.handle, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(of.handle, CURLOPT_HEADERDATA, &of);
     curl_easy_setopt(of.handle, CURLOPT_PRIVATE, &of);
     curl_easy_setopt(of.handle, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(of.handle, CURLOPT_NOPROXY, "*");
--- a/src/libhttp/http_server.cpp
+++ b/src/libhttp/http_server.cpp
@@ -30,6 +30,22 @@
     return text;
 }
 
+/// A header by its name; Pistache leaves untyped headers out of an answer.
+class named_header : public Pistache::Http::Header::Header {
+public:
+    named_header(std::string header_name, std::string header_value)
+        : own_name(std::move(header_name)), value(std::move(header_value))
+    {
+    }
+    [[nodiscard]] const char* name() const override { return this->own_name.c_str(); }
+    void write(std::ostream& stream) const override { stream << this->value; }
+    [[nodiscard]] std::uint64_t hash() const override { return 0; }
+
+private:
+    std::string own_name;
+    std::string value;
+};
+
 /// State that the handler clones, the responders and the server share.
 struct shared_state {
     explicit shared_state(const server_options& limits, server_handler on_request)
@@ -56,8 +72,8 @@
 class pending_answer {
 public:
     pending_answer(std::shared_ptr<shared_state> owner, Pistache::Http::ResponseWriter to,
-                   std::size_t connection)
-        : state(std::move(owner)), writer(std::move(to)), peer_id(connection)
+                   std::size_t connection, bool keep)
+        : state(std::move(owner)), writer(std::move(to)), peer_id(connection), keep_alive(keep)
     {
     }
 
@@ -93,11 +109,17 @@
 private:
     void write(const server_response& answer)
     {
-        using Pistache::Http::Header::Raw;
+        Pistache::Http::Header::Collection& headers = this->writer.headers();
         for (const auto& [name, value] : answer.headers) {
-            this->writer.headers().addRaw(Raw(name, value));
+            headers.add(std::make_shared<named_header>(name, value));
+        }
+        headers.add(std::make_shared<named_header>("Content-Type", answer.content_type));
+        if (this->keep_alive) {
+            // Pistache announces a close unless the request asks for the default of HTTP/1.1.
+            headers.remove<Pistache::Http::Header::Connection>();
+            headers.add<Pistache::Http::Header::Connection>(
+                Pistache::Http::ConnectionControl::KeepAlive);
         }
-        this->writer.headers().addRaw(Raw("Content-Type", answer.content_type));
         ++this->state->unsent_answers;
         const std::shared_ptr<shared_state> shared = this->state;
         // Runs under Pistache's own locks, so it must not take the state's lock.
@@ -110,6 +132,7 @@
     std::shared_ptr<shared_state> state;
     Pistache::Http::ResponseWriter writer;
     std::size_t peer_id;
+    bool keep_alive;
     bool answered = false;
 };
 
@@ -145,8 +168,10 @@
             this->state->connected.insert(peer_id);
             ++this->state->open_requests;
         }
+        const bool keep_alive = request.version() == Pistache::Http::Version::Http11 &&
+                                !request.headers().has<Pistache::Http::Header::Connection>();
         const std::shared_ptr<pending_answer> pending =
-            std::make_shared<pending_answer>(this->state, std::move(response), peer_id);
+            std::make_shared<pending_answer>(this->state, std::move(response), peer_id, keep_alive);
         this->state->handler(read_request(request), [pending](const server_response& answer) {
             return pending->respond(answer);
         });
--- a/src/libhttp/http_test.cpp
+++ b/src/libhttp/http_test.cpp
@@ -58,7 +58,7 @@
                   this->answer_later(request.path, std::move(respond));
                   return;
               }
-              respond({200, "text/plain", request.path + request.body, {}});
+              respond({200, "text/plain", request.path + request.body, {{"X-Test", "yes"}}});
           })
     {
         REQUIRE(this->server.start(this->address).ok());
@@ -129,6 +129,20 @@
 
 } // namespace
 
+// Guards against headers that Pistache drops, and against connections closed after each answer.
+TEST_CASE("answers carry their headers and keep the connection", "[http]")
+{
+    late_server test;
+    http::client client({});
+    const absl::StatusOr<http::client_response> response =
+        get(client, test.address, "/x", milliseconds(3000));
+    REQUIRE(response.ok());
+    REQUIRE(response->content_type == "text/plain");
+    REQUIRE(response->headers.at("x-test") == "yes");
+    REQUIRE(response->headers.at("connection") == "Keep-Alive");
+    REQUIRE(get(client, test.address, "/y", milliseconds(3000))->body == "/y");
+}
+
 // Guards against an answer given late, from another thread, being lost.
 TEST_CASE("a handler may answer later from another thread", "[http]")
 {
