Read HTTP requests in our own layer, one at a time per connection

Pistache answers once for each piece of the body that arrives, so the second answer crosses over to the next request. Its reading also lets the answers of pipelined requests overtake each other. Ruled out: a larger limit inside Pistache with a check behind it, because the fault is then only moved; closing after each answer, because a pipelined request would still be served out of order. Change: the handler reads with Pistache's parser itself, answers an unreadable request once and ends the output, and reads the next request only once the answer to the one before is queued. A recorded answer also names the worker that ran it.

--- a/src/include/redwingwheel/metrics.h
+++ b/src/include/redwingwheel/metrics.h
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 /// Counters, gauges and distributions, shown in the text exposition format that monitoring systems
 /// scrape. Distributions are estimated by Boost.Accumulators.
@@ -35,7 +36,10 @@
     struct series_key {
         std::string name;
         std::string labels;
-        auto operator<=>(const series_key&) const = default;
+        [[nodiscard]] bool operator<(const series_key& other) const
+        {
+            return std::tie(this->name, this->labels) < std::tie(other.name, other.labels);
+        }
     };
     class distribution;
 
--- a/src/libentry/request_flow.cpp
+++ b/src/libentry/request_flow.cpp
@@ -173,6 +173,7 @@
             this->refuse(status_gone, "done", "the work ran; its answer was too large to keep");
             return;
         }
+        this->current.choice.worker = result.worker;
         this->answer_caller(result.recorded.front());
         return;
     case verdict::conflict:
@@ -402,6 +403,7 @@
         return;
     }
     this->current.attempt = attempt;
+    this->current.choice.worker = worker;
     if (fetched->at == state::finished && request::check_answer(fetched->answer, attempt).ok()) {
         if (fetched->answer.outcome == request::outcome_kind::not_run) {
             this->has_claim = true;
--- a/src/libhttp/http_server.cpp
+++ b/src/libhttp/http_server.cpp
@@ -13,6 +13,7 @@
 #include <pistache/peer.h>
 #include <pistache/transport.h>
 #include <spdlog/spdlog.h>
+#include <sys/socket.h>
 
 namespace redwingwheel::http {
 
@@ -68,12 +69,28 @@
     std::size_t abandoned = 0;
 };
 
+/// What this layer keeps of a connection, beside Pistache's parser.
+struct connection_state {
+    /// An answer is outstanding.
+    std::atomic<bool> busy{false};
+    /// Nothing more is read from the connection; it closes with the answer that is outstanding.
+    std::atomic<bool> refused{false};
+};
+
+/// Tells the caller that nothing follows. The caller then closes, and the descriptor is freed.
+void end_output(const Pistache::Tcp::Peer& peer)
+{
+    ::shutdown(peer.fd(), SHUT_WR);
+}
+
 /// One request's way back to its caller.
 class pending_answer {
 public:
-    pending_answer(std::shared_ptr<shared_state> owner, Pistache::Http::ResponseWriter to,
-                   std::size_t connection, bool keep)
-        : state(std::move(owner)), writer(std::move(to)), peer_id(connection), keep_alive(keep)
+    pending_answer(std::shared_ptr<shared_state> owner,
+                   std::shared_ptr<connection_state> on_connection,
+                   Pistache::Http::ResponseWriter to, std::size_t connection_id, bool keep)
+        : state(std::move(owner)), connection(std::move(on_connection)), writer(std::move(to)),
+          peer_id(connection_id), keep_alive(keep)
     {
     }
 
@@ -114,22 +131,29 @@
             headers.add(std::make_shared<named_header>(name, value));
         }
         headers.add(std::make_shared<named_header>("Content-Type", answer.content_type));
-        if (this->keep_alive) {
-            // Pistache announces a close unless the request asks for the default of HTTP/1.1.
-            headers.remove<Pistache::Http::Header::Connection>();
-            headers.add<Pistache::Http::Header::Connection>(
-                Pistache::Http::ConnectionControl::KeepAlive);
-        }
+        const bool keep = this->keep_alive && !this->connection->refused;
+        headers.add<Pistache::Http::Header::Connection>(
+            keep ? Pistache::Http::ConnectionControl::KeepAlive
+                 : Pistache::Http::ConnectionControl::Close);
         ++this->state->unsent_answers;
         const std::shared_ptr<shared_state> shared = this->state;
         // Runs under Pistache's own locks, so it must not take the state's lock.
-        const auto settled = [shared] { --shared->unsent_answers; };
+        const std::shared_ptr<Pistache::Tcp::Peer> peer = this->writer.peer();
+        // The next request is read only once this answer is in the queue.
+        this->connection->busy = false;
         this->writer.send(static_cast<Pistache::Http::Code>(answer.status), answer.body)
-            .then([settled](ssize_t) { settled(); },
-                  [settled](const std::exception_ptr&) { settled(); });
+            .then(
+                [shared, peer, keep](ssize_t) {
+                    --shared->unsent_answers;
+                    if (!keep) {
+                        end_output(*peer);
+                    }
+                },
+                [shared](const std::exception_ptr&) { --shared->unsent_answers; });
     }
 
     std::shared_ptr<shared_state> state;
+    std::shared_ptr<connection_state> connection;
     Pistache::Http::ResponseWriter writer;
     std::size_t peer_id;
     bool keep_alive;
@@ -153,6 +177,18 @@
     return request;
 }
 
+constexpr const char* connection_data = "redwingwheel";
+
+std::shared_ptr<connection_state> state_of(const std::shared_ptr<Pistache::Tcp::Peer>& peer)
+{
+    std::shared_ptr<void> found = peer->tryGetData(connection_data);
+    if (found == nullptr) {
+        found = std::make_shared<connection_state>();
+        peer->putData(connection_data, found);
+    }
+    return std::static_pointer_cast<connection_state>(found);
+}
+
 class pistache_handler : public Pistache::Http::Handler {
 public:
     HTTP_PROTOTYPE(pistache_handler)
@@ -162,21 +198,60 @@
     void onRequest(const Pistache::Http::Request& request,
                    Pistache::Http::ResponseWriter response) override
     {
-        const std::size_t peer_id = response.peer()->getID();
+        const std::shared_ptr<Pistache::Tcp::Peer> peer = response.peer();
+        const std::shared_ptr<connection_state> connection = state_of(peer);
         {
             const std::lock_guard<std::mutex> guard(this->state->lock);
-            this->state->connected.insert(peer_id);
+            this->state->connected.insert(peer->getID());
             ++this->state->open_requests;
         }
-        const bool keep_alive = request.version() == Pistache::Http::Version::Http11 &&
-                                !request.headers().has<Pistache::Http::Header::Connection>();
-        const std::shared_ptr<pending_answer> pending =
-            std::make_shared<pending_answer>(this->state, std::move(response), peer_id, keep_alive);
+        connection->busy = true;
+        const std::shared_ptr<pending_answer> pending = std::make_shared<pending_answer>(
+            this->state, connection, std::move(response), peer->getID(), wants_keep_alive(request));
         this->state->handler(read_request(request), [pending](const server_response& answer) {
             return pending->respond(answer);
         });
     }
 
+    /// Replaces Pistache's own reading, which answers a body over the limit once for each piece
+    /// that arrives, so that the next request on the connection gets an answer that is not its own,
+    /// and which lets the answers of pipelined requests overtake each other.
+    void onInput(const char* buffer, size_t size,
+                 const std::shared_ptr<Pistache::Tcp::Peer>& peer) override
+    {
+        const std::shared_ptr<connection_state> connection = state_of(peer);
+        if (connection->refused) {
+            return;
+        }
+        if (connection->busy) {
+            connection->refused = true;
+            return;
+        }
+        const std::shared_ptr<Pistache::Http::RequestParser> parser = getParser(peer);
+        try {
+            if (!parser->feed(buffer, size)) {
+                this->refuse(peer, *connection, Pistache::Http::Code::Request_Entity_Too_Large);
+                return;
+            }
+            if (parser->parse() != Pistache::Http::Private::State::Done) {
+                return;
+            }
+            peer->setIdle(false);
+            parser->request.copyAddress(peer->address());
+            this->onRequest(parser->request,
+                            Pistache::Http::ResponseWriter(parser->request.version(),
+                                                           this->transport(), this, peer));
+            parser->reset();
+        }
+        catch (const Pistache::Http::HttpError& error) {
+            this->refuse(peer, *connection, static_cast<Pistache::Http::Code>(error.code()));
+        }
+        catch (const std::exception& error) {
+            spdlog::warn("event=http_request_refused error=\"{}\"", error.what());
+            this->refuse(peer, *connection, Pistache::Http::Code::Bad_Request);
+        }
+    }
+
     void onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer>& peer) override
     {
         const std::lock_guard<std::mutex> guard(this->state->lock);
@@ -186,6 +261,28 @@
     }
 
 private:
+    static bool wants_keep_alive(const Pistache::Http::Request& request)
+    {
+        const auto header = request.headers().tryGet<Pistache::Http::Header::Connection>();
+        if (header != nullptr) {
+            return header->control() == Pistache::Http::ConnectionControl::KeepAlive;
+        }
+        return request.version() == Pistache::Http::Version::Http11;
+    }
+
+    /// Answers with an error, once, and ends the connection.
+    void refuse(const std::shared_ptr<Pistache::Tcp::Peer>& peer, connection_state& connection,
+                Pistache::Http::Code code)
+    {
+        connection.refused = true;
+        Pistache::Http::ResponseWriter writer(Pistache::Http::Version::Http11, this->transport(),
+                                              this, peer);
+        writer.headers().add<Pistache::Http::Header::Connection>(
+            Pistache::Http::ConnectionControl::Close);
+        writer.send(code, R"({"outcome":"not_run","reason":"the request cannot be read"})")
+            .then([peer](ssize_t) { end_output(*peer); }, Pistache::Async::NoExcept);
+    }
+
     std::shared_ptr<shared_state> state;
 };
 
--- a/src/libhttp/http_test.cpp
+++ b/src/libhttp/http_test.cpp
@@ -196,6 +196,29 @@
     REQUIRE(test.server.open_requests() == 0);
 }
 
+// Guards against answers of pipelined requests that overtake each other: the second request here
+// would be answered first.
+TEST_CASE("a second request before the answer to the first is not served", "[http]")
+{
+    late_server test;
+    asio::io_context context;
+    tcp::socket raw(context);
+    raw.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), test.address.port));
+    asio::write(raw, asio::buffer(std::string("GET /late/1 HTTP/1.1\r\nHost: a\r\n\r\n")));
+    std::this_thread::sleep_for(milliseconds(30));
+    asio::write(raw, asio::buffer(std::string("GET /second HTTP/1.1\r\nHost: a\r\n\r\n")));
+    std::string all;
+    boost::system::error_code error;
+    while (!error) {
+        std::string piece(1024, '\0');
+        piece.resize(raw.read_some(asio::buffer(piece), error));
+        all += piece;
+    }
+    REQUIRE(all.find("/late/1") != std::string::npos);
+    REQUIRE(all.find("Connection: Close") != std::string::npos);
+    REQUIRE(all.find("/second") == std::string::npos);
+}
+
 // Guards against a planned stop that cuts an answer, and against a crash by answers after it.
 TEST_CASE("a stop waits for open requests and drops later answers", "[http]")
 {
