Rebuild routing lists once per change burst, and index gone incarnations

Ruled out: nothing else was tried; both changes are local. Change: the lists are rebuilt at the next choice, and lost incarnations are looked up by number.

--- a/src/include/redwingwheel/claims.h
+++ b/src/include/redwingwheel/claims.h
@@ -275,6 +275,8 @@
     std::set<ending> bodies;
     std::map<std::string, std::size_t, std::less<>> account_records;
     std::deque<gone_incarnation> gone;
+    /// The incarnations in `gone`; the numbers are random, so a hit is nearly always the worker's.
+    std::set<incarnation_id> gone_ids;
     std::size_t body_bytes = 0;
     std::uint64_t contradiction_count = 0;
     logged_ms latest = 0;
--- a/src/include/redwingwheel/router.h
+++ b/src/include/redwingwheel/router.h
@@ -190,6 +190,8 @@
     clock_function clock;
     random_function random;
     std::map<std::string, agent_state, std::less<>> agents;
+    /// The lists are rebuilt at the next choice, so that many changes cost one rebuild.
+    bool lists_stale = false;
     agent_list local;
     agent_list remote;
     agent_list all;
--- a/src/librequest/claims.cpp
+++ b/src/librequest/claims.cpp
@@ -226,6 +226,7 @@
     }
     if (!this->is_gone(command.worker, command.incarnation)) {
         this->gone.push_back(gone_incarnation{command.worker, command.incarnation, this->latest});
+        this->gone_ids.insert(command.incarnation);
     }
     return verdict_only(claim_verdict::recorded);
 }
@@ -238,6 +239,7 @@
         this->forget(claim_id(this->endings.begin()->id));
     }
     while (!this->gone.empty() && this->gone.front().marked_at <= ended_before) {
+        this->gone_ids.erase(this->gone.front().incarnation);
         this->gone.pop_front();
     }
     return verdict_only(claim_verdict::recorded);
@@ -299,7 +301,7 @@
 
 bool claim_table::is_gone(std::string_view worker, incarnation_id incarnation) const
 {
-    return this->rules.check_incarnation &&
+    return this->rules.check_incarnation && this->gone_ids.contains(incarnation) &&
            std::any_of(this->gone.begin(), this->gone.end(),
                        [worker, incarnation](const gone_incarnation& one) {
                            return one.incarnation == incarnation && one.worker == worker;
@@ -401,6 +403,9 @@
     restored.latest = taken->latest;
     restored.contradiction_count = taken->contradictions;
     restored.gone.assign(taken->gone.begin(), taken->gone.end());
+    for (const gone_incarnation& one : restored.gone) {
+        restored.gone_ids.insert(one.incarnation);
+    }
     for (claim_record& record : taken->records) {
         if (!restored.insert_restored(std::move(record))) {
             return make_error(claim_errc::malformed_snapshot, "records contradict each other");
--- a/src/librequest/router.cpp
+++ b/src/librequest/router.cpp
@@ -43,9 +43,7 @@
     }
     agent.info = info;
     this->note_load(agent, info.load);
-    if (added || moved) {
-        this->rebuild_lists();
-    }
+    this->lists_stale = this->lists_stale || added || moved;
 }
 
 void router::remove_agent(std::string_view worker)
@@ -56,11 +54,12 @@
     }
     this->set_errors(found->second, 0.0);
     this->agents.erase(found);
-    this->rebuild_lists();
+    this->lists_stale = true;
 }
 
 void router::rebuild_lists()
 {
+    this->lists_stale = false;
     this->local.clear();
     this->remote.clear();
     this->all.clear();
@@ -86,6 +85,9 @@
 {
     decision made;
     agent_state* agent = nullptr;
+    if (this->lists_stale) {
+        this->rebuild_lists();
+    }
     if (this->options.policy == routing_policy::estimated_load) {
         agent = this->choose_by_load(request, excluded, made.candidates);
     }
