Check the quorum before a leader takes an answer; probe after refusals

Reading the answer path showed a second fault: each refused append caused up to four more, so that overtaking messages could multiply.

Ruled out: dropping messages by age, because followers' clocks are not comparable.

Change: a leader checks its quorum contact before it handles any message. After a refusal it sends one message at a time, ignores refusals of older rounds, and asks a follower that lost acknowledged entries again only with the next heartbeat.

Conclusion: a paused leader acknowledges nothing after its election timeout.

--- a/src/libreplication/replica.cpp
+++ b/src/libreplication/replica.cpp
@@ -141,6 +141,10 @@
     if (message.to != this->identity && !this->options.broken.vote_without_catching_up) {
         return;
     }
+    if (this->role == replica_role::leader) {
+        // Answers may have waited through a pause in which the others elected a new leader.
+        this->check_quorum();
+    }
     this->dispatch(message);
 }
 
--- a/src/libreplication/replica_core.h
+++ b/src/libreplication/replica_core.h
@@ -22,6 +22,10 @@
     std::uint64_t answered_round = 0;
     std::optional<steady_time> last_contact;
     std::size_t in_flight = 0;
+    /// After a refusal one message is sent at a time, and refusals of older rounds are ignored:
+    /// when messages overtake each other, each refusal would otherwise cause several more.
+    bool probing = false;
+    std::uint64_t probe_round = 0;
     std::optional<snapshot_transfer> transfer;
 };
 
--- a/src/libreplication/replica_leader.cpp
+++ b/src/libreplication/replica_leader.cpp
@@ -141,12 +141,12 @@
     while (this->rounds.front().sent_at + 2 * this->options.election_timeout < sent_at) {
         this->rounds.pop_front();
     }
-    this->heartbeat_deadline = sent_at + this->options.heartbeat_interval;
 }
 
 void replica::core::broadcast(bool heartbeat)
 {
     this->announced_commit = this->commit;
+    this->heartbeat_deadline = this->now() + this->options.heartbeat_interval;
     for (auto& [id, peer] : this->peers) {
         this->send_entries(id, peer, heartbeat);
     }
@@ -164,8 +164,8 @@
         return;
     }
     bool sent = false;
-    while (peer.next <= this->log.last().index &&
-           peer.in_flight < this->options.max_in_flight_messages) {
+    const std::size_t limit = peer.probing ? 1 : this->options.max_in_flight_messages;
+    while (peer.next <= this->log.last().index && peer.in_flight < limit) {
         this->send_append(id, peer, this->log.slice(peer.next, this->options.max_append_bytes));
         ++peer.in_flight;
         sent = true;
@@ -294,17 +294,25 @@
     peer_progress& peer = this->peers.at(message.from);
     this->note_contact(peer, message.round);
     if (message.accepted) {
+        peer.probing = false;
         peer.match = std::max(peer.match, message.position.index);
         peer.next = std::max(peer.next, peer.match + 1);
         peer.in_flight =
             peer.match + 1 == peer.next || peer.in_flight == 0 ? 0 : peer.in_flight - 1;
     }
-    else if (!peer.transfer.has_value()) {
+    else if (!peer.transfer.has_value() && message.round >= peer.probe_round) {
+        this->begin_round();
+        peer.probing = true;
+        peer.probe_round = this->round;
         const log_index hint = std::min(message.position.index, this->log.last().index + 1);
         peer.next = std::max(peer.match + 1, hint);
         peer.in_flight = 0;
     }
-    this->send_entries(message.from, peer, false);
+    // A follower that lost what it had acknowledged refuses everything; it is asked again with the
+    // next heartbeat only.
+    if (message.accepted || message.position.index > peer.match) {
+        this->send_entries(message.from, peer, false);
+    }
     this->advance_commit();
     this->finish_reads();
 }
