--- a/src/include/redwingwheel/file_log_storage.h
+++ b/src/include/redwingwheel/file_log_storage.h
@@ -61,6 +61,7 @@
     std::function<std::uint64_t()> draw;
     file_log_options options;
     std::vector<segment> segments;
+    bool begin_segment = false;
     absl::Status failure;
 };
 
--- a/src/libreplication/file_log_storage.cpp
+++ b/src/libreplication/file_log_storage.cpp
@@ -321,9 +321,10 @@
 absl::Status file_log_storage::write_batch(std::span<const log_entry> entries)
 {
     const log_index first = entries.front().index;
-    const bool new_segment =
-        this->segments.empty() || this->segments.back().size >= this->options.segment_bytes;
+    const bool new_segment = this->segments.empty() || this->begin_segment ||
+                             this->segments.back().size >= this->options.segment_bytes;
     if (new_segment) {
+        this->begin_segment = false;
         this->segments.push_back({segment_name(first), first, {}, 0});
     }
     segment& newest = this->segments.back();
@@ -390,7 +391,10 @@
         return this->failure;
     }
     absl::Status status = this->replace_file(snapshot_name, pack_file(saved));
-    while (status.ok() && this->segments.size() > 1 && this->segments[1].first <= keep_from) {
+    // The next append begins a segment, so that the next snapshot can drop all before it.
+    this->begin_segment = true;
+    while (status.ok() && !this->segments.empty() &&
+           this->segments.front().first + this->segments.front().offsets.size() <= keep_from) {
         status = this->remove_segment(0);
     }
     return this->record(status);
