Make the cost of a poll independent of the gang's size

Cause: each report evaluated its whole gang and each poll walked all members of the gangs on its worker. Separately, an executor that gives up before the start could not say so: the gang then waited for its start limit. Ruled out: evaluating only on ticks, because a report that changes something would wait for the next. Change: a worker's entry lists its own members, members point to their worker's entry, a gang is evaluated when a report changed something, and task_ended before the start counts as not_run.

--- a/src/include/redwingwheel/gang.h
+++ b/src/include/redwingwheel/gang.h
@@ -91,6 +91,7 @@
 
     void task_started(const task_key& task);
     void task_checkpointed(const task_key& task);
+    /// Before the start was sent the outcome is not_run, whatever is given.
     void task_ended(const task_key& task, task_outcome outcome);
 
     /// State of every member for the next poll. Ended members stay until acknowledged.
@@ -238,8 +239,11 @@
 private:
     enum class member_step { reserving, ready, running, ended };
 
+    struct worker_state;
     struct member_state {
         gang_member_record record;
+        /// Entries of workers stay until the next restore.
+        worker_state* home = nullptr;
         member_step at = member_step::reserving;
         bool lost = false;
         bool checkpointed = false;
@@ -261,11 +265,16 @@
         bool broken = false;
         std::optional<steady_time> partial_since;
     };
+    /// Members of one gang on one worker.
+    struct local_members {
+        gang_state* gang = nullptr;
+        std::vector<std::uint32_t> indexes;
+    };
     struct worker_state {
         std::uint64_t incarnation = 0;
         steady_time last_grant{};
-        /// Jobs with a member here.
-        std::set<std::string, std::less<>> jobs;
+        /// By job. Kept per worker so that a poll costs no more for a larger gang.
+        std::map<std::string, local_members, std::less<>> jobs;
         /// Answers to reports of gangs that are not known.
         std::vector<gang_command> replies;
     };
@@ -273,11 +282,14 @@
 
     [[nodiscard]] worker_state& worker_entry(std::string_view worker);
     [[nodiscard]] bool cells_free(std::span<const gang_member_record> members) const;
-    void link_workers(std::string_view job, const gang_state& gang);
+    void link_workers(std::string_view job, gang_state& gang);
     void remove(gang_map::iterator gang);
 
     void reply_to_unknown(worker_state& worker, const member_report& report);
-    void note_report(member_state& member, std::uint64_t incarnation, const member_report& report);
+    /// True when the report changed what is known of the member.
+    static bool note_report(member_state& member, std::uint64_t incarnation,
+                            const member_report& report);
+    void change_incarnation(worker_state& worker, std::uint64_t incarnation);
     void evaluate(const std::string& job, gang_state& gang);
     void evaluate_reserving(const std::string& job, gang_state& gang);
     void evaluate_released(const std::string& job, gang_state& gang);
@@ -292,7 +304,7 @@
     void propose_end(const std::string& job, gang_state& gang, gang_end_reason reason);
 
     void apply_released(const gang_released& record);
-    void append_commands(const std::string& job, const gang_state& gang, std::string_view worker,
+    void append_commands(const std::string& job, const local_members& members,
                          std::vector<gang_command>& out) const;
     [[nodiscard]] std::optional<gang_command> command_for(const gang_state& gang,
                                                           const member_state& member) const;
--- a/src/libmembership/gang_coordinator.cpp
+++ b/src/libmembership/gang_coordinator.cpp
@@ -80,17 +80,21 @@
     return found->second;
 }
 
-void gang_coordinator::link_workers(std::string_view job, const gang_state& gang)
+void gang_coordinator::link_workers(std::string_view job, gang_state& gang)
 {
-    for (const member_state& member : gang.members) {
-        this->worker_entry(member.record.worker).jobs.emplace(job);
+    for (std::uint32_t index = 0; index < gang.members.size(); ++index) {
+        member_state& member = gang.members[index];
+        member.home = &this->worker_entry(member.record.worker);
+        local_members& local = member.home->jobs[std::string(job)];
+        local.gang = &gang;
+        local.indexes.push_back(index);
     }
 }
 
 void gang_coordinator::remove(gang_map::iterator gang)
 {
     for (const member_state& member : gang->second.members) {
-        this->worker_entry(member.record.worker).jobs.erase(gang->first);
+        member.home->jobs.erase(gang->first);
     }
     this->gangs.erase(gang);
 }
@@ -141,10 +145,9 @@
         if (known == this->workers.end()) {
             continue;
         }
-        for (const std::string& job : known->second.jobs) {
-            for (const member_state& member : this->gangs.find(job)->second.members) {
-                if (member.record.worker == worker &&
-                    (member.record.accelerator_mask & mask) != 0) {
+        for (const auto& [job, local] : known->second.jobs) {
+            for (const std::uint32_t index : local.indexes) {
+                if ((local.gang->members[index].record.accelerator_mask & mask) != 0) {
                     return false;
                 }
             }
@@ -156,17 +159,21 @@
 void gang_coordinator::on_report(std::string_view worker, std::uint64_t incarnation,
                                  const member_report& report)
 {
-    this->on_worker_incarnation(worker, incarnation);
-    const auto found = this->gangs.find(report.task.job);
-    const bool known = found != this->gangs.end() && found->second.epoch == report.task.epoch &&
-                       report.task.member < found->second.members.size() &&
-                       found->second.members[report.task.member].record.worker == worker;
+    worker_state& sender = this->worker_entry(worker);
+    this->change_incarnation(sender, incarnation);
+    const auto found = sender.jobs.find(report.task.job);
+    const bool known =
+        found != sender.jobs.end() && found->second.gang->epoch == report.task.epoch &&
+        std::find(found->second.indexes.begin(), found->second.indexes.end(), report.task.member) !=
+            found->second.indexes.end();
     if (!known) {
-        this->reply_to_unknown(this->worker_entry(worker), report);
+        this->reply_to_unknown(sender, report);
         return;
     }
-    this->note_report(found->second.members[report.task.member], incarnation, report);
-    this->evaluate(found->first, found->second);
+    gang_state& gang = *found->second.gang;
+    if (note_report(gang.members[report.task.member], incarnation, report)) {
+        this->evaluate(found->first, gang);
+    }
 }
 
 /// An attempt that is not live here has ended in the log, or was never logged as released.
@@ -183,44 +190,42 @@
 
 void gang_coordinator::on_worker_lost(std::string_view worker)
 {
-    const std::set<std::string, std::less<>> jobs = this->worker_entry(worker).jobs;
-    for (const std::string& job : jobs) {
-        const auto gang = this->gangs.find(job);
-        for (member_state& member : gang->second.members) {
-            member.lost =
-                member.lost || (member.record.worker == worker && member.at != member_step::ended);
+    for (auto& [job, local] : this->worker_entry(worker).jobs) {
+        for (const std::uint32_t index : local.indexes) {
+            member_state& member = local.gang->members[index];
+            member.lost = member.lost || member.at != member_step::ended;
         }
-        this->evaluate(job, gang->second);
+        this->evaluate(job, *local.gang);
     }
 }
 
 void gang_coordinator::on_worker_incarnation(std::string_view worker, std::uint64_t incarnation)
 {
-    worker_state& known = this->worker_entry(worker);
-    if (known.incarnation == incarnation) {
+    this->change_incarnation(this->worker_entry(worker), incarnation);
+}
+
+void gang_coordinator::change_incarnation(worker_state& worker, std::uint64_t incarnation)
+{
+    if (worker.incarnation == incarnation) {
         return;
     }
-    known.incarnation = incarnation;
-    known.replies.clear();
-    const steady_time former_end = known.last_grant + this->options.permits.surely_ended_after();
-    const std::set<std::string, std::less<>> jobs = known.jobs;
-    for (const std::string& job : jobs) {
-        const auto gang = this->gangs.find(job);
-        for (member_state& member : gang->second.members) {
-            if (member.record.worker != worker || member.record.incarnation == 0) {
-                continue;
-            }
+    worker.incarnation = incarnation;
+    worker.replies.clear();
+    const steady_time former_end = worker.last_grant + this->options.permits.surely_ended_after();
+    for (auto& [job, local] : worker.jobs) {
+        for (const std::uint32_t index : local.indexes) {
+            member_state& member = local.gang->members[index];
             if (member.record.incarnation == incarnation) {
                 // The other incarnation was a late message of a former process: this one gets
                 // permits again, so its lease ends with the last of them.
                 member.former_lease_end.reset();
             }
-            else if (!member.former_lease_end.has_value()) {
+            else if (member.record.incarnation != 0 && !member.former_lease_end.has_value()) {
                 member.former_lease_end = former_end;
                 member.lost = member.lost || member.at != member_step::ended;
             }
         }
-        this->evaluate(job, gang->second);
+        this->evaluate(job, *local.gang);
     }
 }
 
@@ -268,12 +273,12 @@
 std::vector<gang_command> gang_coordinator::commands_for(std::string_view worker,
                                                          std::uint64_t incarnation)
 {
-    this->on_worker_incarnation(worker, incarnation);
     worker_state& known = this->worker_entry(worker);
+    this->change_incarnation(known, incarnation);
     known.last_grant = this->clock();
     std::vector<gang_command> out = std::exchange(known.replies, {});
-    for (const std::string& job : known.jobs) {
-        this->append_commands(job, this->gangs.find(job)->second, worker, out);
+    for (const auto& [job, local] : known.jobs) {
+        this->append_commands(job, local, out);
     }
     for (gang_command& command : out) {
         command.incarnation = incarnation;
@@ -286,19 +291,18 @@
     return out;
 }
 
-void gang_coordinator::append_commands(const std::string& job, const gang_state& gang,
-                                       std::string_view worker,
+void gang_coordinator::append_commands(const std::string& job, const local_members& members,
                                        std::vector<gang_command>& out) const
 {
-    for (std::size_t index = 0; index < gang.members.size(); ++index) {
-        const member_state& member = gang.members[index];
+    for (const std::uint32_t index : members.indexes) {
+        const member_state& member = members.gang->members[index];
         // A member of a former incarnation is beyond the reach of commands.
-        if (member.record.worker != worker || member.former_lease_end.has_value()) {
+        if (member.former_lease_end.has_value()) {
             continue;
         }
-        std::optional<gang_command> command = this->command_for(gang, member);
+        std::optional<gang_command> command = this->command_for(*members.gang, member);
         if (command.has_value()) {
-            command->task = {job, gang.epoch, static_cast<std::uint32_t>(index)};
+            command->task = {job, members.gang->epoch, index};
             out.push_back(std::move(*command));
         }
     }
--- a/src/libmembership/gang_coordinator_steps.cpp
+++ b/src/libmembership/gang_coordinator_steps.cpp
@@ -27,15 +27,17 @@
     return "invalid";
 }
 
-void gang_coordinator::note_report(member_state& member, std::uint64_t incarnation,
+bool gang_coordinator::note_report(member_state& member, std::uint64_t incarnation,
                                    const member_report& report)
 {
     if (member.record.incarnation == 0) {
         member.record.incarnation = incarnation;
     }
     if (member.record.incarnation != incarnation || member.at == member_step::ended) {
-        return;
+        return false;
     }
+    const member_step before = member.at;
+    const bool checkpointed_before = member.checkpointed;
     member.checkpointed = report.checkpointed;
     member.speed_percent = report.speed_percent;
     switch (report.kind) {
@@ -59,6 +61,7 @@
         member.record.outcome = task_outcome::not_run;
         break;
     }
+    return member.at != before || member.checkpointed != checkpointed_before;
 }
 
 void gang_coordinator::evaluate(const std::string& job, gang_state& gang)
@@ -117,9 +120,8 @@
         if (member.at == member_step::ended) {
             continue;
         }
-        const steady_time lease_end =
-            member.former_lease_end.value_or(this->worker_entry(member.record.worker).last_grant +
-                                             this->options.permits.surely_ended_after());
+        const steady_time lease_end = member.former_lease_end.value_or(
+            member.home->last_grant + this->options.permits.surely_ended_after());
         if (now >= lease_end) {
             member.lost = true;
             member.at = member_step::ended;
--- a/src/libmembership/gang_member.cpp
+++ b/src/libmembership/gang_member.cpp
@@ -179,9 +179,16 @@
 void gang_member::task_ended(const task_key& task, task_outcome outcome)
 {
     task_state* const state = this->find(task);
-    if (state != nullptr && state->sent && state->at != step::ended) {
+    if (state == nullptr || state->at == step::ended) {
+        return;
+    }
+    if (state->sent) {
         this->end(task, *state, outcome);
     }
+    else if (state->at == step::starting) {
+        // The executor gives up before the start was sent.
+        this->end(task, *state, task_outcome::not_run);
+    }
 }
 
 void gang_member::stop(const gang_command& command, actions& out)
--- a/src/libmembership/gang_member_test.cpp
+++ b/src/libmembership/gang_member_test.cpp
@@ -109,6 +109,19 @@
     CHECK(agent.only_report().outcome == task_outcome::not_run);
 }
 
+// Guards against a gang that waits for its start limit when an executor cannot even try.
+TEST_CASE("an executor may give up before the start")
+{
+    fixture agent;
+    static_cast<void>(agent.send(gang_command_kind::reserve));
+    agent.member.task_ended(agent.task, task_outcome::failed);
+    CHECK(agent.only_report().kind == member_report_kind::reserved_ready);
+    static_cast<void>(agent.send(gang_command_kind::release));
+    agent.member.task_ended(agent.task, task_outcome::failed);
+    CHECK(agent.only_report().outcome == task_outcome::not_run);
+    CHECK_FALSE(agent.member.begin_start(agent.task));
+}
+
 // Guards against a release that starts work in a withdrawn data centre or hangs there.
 TEST_CASE("a release in a withdrawn data centre ends as not run")
 {
