Let agents report changes only

Cause: the design has agents report changes only; so far each poll carried the state of every member. Ruled out: leaving the ended members out too, because the leader acknowledges an end only when it sees it again after the gang's end is in the log. Ruled out: a plain "delivered up to" mark, because a late answer of a new leader would then cover changes that only the former leader saw; a batch names the version it starts from. Conclusion: a caller that knows the leader's term can use it; reports stays for one that does not.

--- a/src/include/redwingwheel/gang.h
+++ b/src/include/redwingwheel/gang.h
@@ -71,6 +71,13 @@
     gang_member_faults faults;
 };
 
+/// What a poll carries: the changes after version `from` up to `version`.
+struct report_batch {
+    std::uint64_t from = 0;
+    std::uint64_t version = 0;
+    std::vector<member_report> reports;
+};
+
 /// The agent's side: the only authority over the worker's slots and accelerators for tasks.
 ///
 /// For each answer to a poll the caller first accepts the permit, then handles every command, in
@@ -94,9 +101,17 @@
     /// Before the start was sent the outcome is not_run, whatever is given.
     void task_ended(const task_key& task, task_outcome outcome);
 
-    /// State of every member for the next poll. Ended members stay until acknowledged.
+    /// State of every member. Ended members stay until acknowledged.
     [[nodiscard]] std::vector<member_report> reports() const;
 
+    /// The same, without the members that have not changed since an answered poll. All members come
+    /// again after a leader change, since the new leader has seen none.
+    [[nodiscard]] report_batch changed_reports() const;
+
+    /// Notes that the leader of `term` has answered a poll that carried the changes after `from` up
+    /// to `version`. Ignored when that leader may not have seen the changes before.
+    void reports_delivered(std::uint64_t from, std::uint64_t version, std::uint64_t term);
+
     /// True when a state changed since the last call; a poll sent at once then saves half a period.
     [[nodiscard]] bool take_changed();
 
@@ -125,6 +140,8 @@
         bool checkpointed = false;
         std::uint32_t speed_percent = 100;
         task_outcome outcome = task_outcome::none;
+        /// Counter of the member's changes at the last change of this task.
+        std::uint64_t version = 0;
     };
     using actions = std::vector<gang_action>;
 
@@ -145,6 +162,8 @@
     [[nodiscard]] steady_time task_lease_deadline() const;
     void begin_stop(const task_key& task, task_state& state, steady_time deadline, actions& out);
     void end(const task_key& task, task_state& state, task_outcome outcome);
+    void note_change(task_state& state);
+    [[nodiscard]] static member_report report_of(const task_key& task, const task_state& state);
 
     clock_function clock;
     permit_holder& permits;
@@ -152,6 +171,9 @@
     gang_member_options options;
     std::uint64_t highest_term = 0;
     bool changed = false;
+    std::uint64_t version = 0;
+    std::uint64_t delivered_version = 0;
+    std::uint64_t delivered_term = 0;
     std::map<task_key, task_state> tasks;
     std::set<task_key> ends;
     std::deque<task_key> ends_in_order;
--- a/src/libmembership/gang_member.cpp
+++ b/src/libmembership/gang_member.cpp
@@ -91,7 +91,7 @@
     state.accelerator_mask = command.accelerator_mask;
     state.slots = command.slots;
     state.reserve_deadline = deadline_after(this->clock(), command.remaining_ms);
-    this->changed = true;
+    this->note_change(state);
     if (!possible) {
         this->end(command.task, state, task_outcome::not_run);
     }
@@ -120,6 +120,7 @@
         if (task.job == command.task.job && task.member == command.task.member && same_epoch &&
             state.at == step::reserved) {
             state.at = step::release_pending;
+            this->note_change(state);
             this->try_start(task, state, out);
         }
     }
@@ -138,7 +139,7 @@
     else if (this->permits.may_start() && this->clock() < this->task_lease_deadline()) {
         state.at = step::starting;
         state.lease_deadline = this->task_lease_deadline();
-        this->changed = true;
+        this->note_change(state);
         out.push_back(start_task{task, state.accelerator_mask, state.slots, state.lease_deadline});
     }
 }
@@ -163,7 +164,7 @@
     task_state* const state = this->find(task);
     if (state != nullptr && state->at == step::starting) {
         state->at = step::running;
-        this->changed = true;
+        this->note_change(*state);
     }
 }
 
@@ -172,7 +173,7 @@
     task_state* const state = this->find(task);
     if (state != nullptr && state->at != step::ended) {
         state->checkpointed = true;
-        this->changed = true;
+        this->note_change(*state);
     }
 }
 
@@ -218,7 +219,7 @@
     state.at = step::stopping;
     state.stop_deadline = deadline;
     state.next_stop = this->clock() + this->options.stop_period;
-    this->changed = true;
+    this->note_change(state);
     out.push_back(stop_task{task, deadline});
 }
 
@@ -238,6 +239,7 @@
     if (state != nullptr && state->at == step::running &&
         state->speed_percent != command.speed_percent) {
         state->speed_percent = command.speed_percent;
+        this->note_change(*state);
         out.push_back(throttle_task{command.task, command.speed_percent});
     }
 }
@@ -295,7 +297,7 @@
 {
     state.at = step::ended;
     state.outcome = outcome;
-    this->changed = true;
+    this->note_change(state);
     this->remember(task);
 }
 
@@ -316,40 +318,75 @@
     }
 }
 
+void gang_member::note_change(task_state& state)
+{
+    ++this->version;
+    state.version = this->version;
+    this->changed = true;
+}
+
+member_report gang_member::report_of(const task_key& task, const task_state& state)
+{
+    member_report report;
+    report.task = task;
+    report.checkpointed = state.checkpointed;
+    report.speed_percent = state.speed_percent;
+    switch (state.at) {
+    case step::reserved:
+        report.kind = member_report_kind::reserved_ready;
+        break;
+    case step::release_pending:
+    case step::starting:
+        report.kind = member_report_kind::starting;
+        break;
+    case step::running:
+        report.kind = member_report_kind::running;
+        break;
+    case step::stopping:
+        report.kind = member_report_kind::stopping;
+        break;
+    case step::ended:
+        report.kind =
+            state.expired ? member_report_kind::reserve_expired : member_report_kind::ended;
+        report.outcome = state.outcome;
+        break;
+    }
+    return report;
+}
+
 std::vector<member_report> gang_member::reports() const
 {
     std::vector<member_report> all;
     all.reserve(this->tasks.size());
     for (const auto& [task, state] : this->tasks) {
-        member_report report;
-        report.task = task;
-        report.checkpointed = state.checkpointed;
-        report.speed_percent = state.speed_percent;
-        switch (state.at) {
-        case step::reserved:
-            report.kind = member_report_kind::reserved_ready;
-            break;
-        case step::release_pending:
-        case step::starting:
-            report.kind = member_report_kind::starting;
-            break;
-        case step::running:
-            report.kind = member_report_kind::running;
-            break;
-        case step::stopping:
-            report.kind = member_report_kind::stopping;
-            break;
-        case step::ended:
-            report.kind =
-                state.expired ? member_report_kind::reserve_expired : member_report_kind::ended;
-            report.outcome = state.outcome;
-            break;
-        }
-        all.push_back(std::move(report));
+        all.push_back(report_of(task, state));
     }
     return all;
 }
 
+report_batch gang_member::changed_reports() const
+{
+    report_batch batch{this->delivered_version, this->version, {}};
+    for (const auto& [task, state] : this->tasks) {
+        // The leader acknowledges an end only when it sees it again after the gang has ended.
+        if (state.version > this->delivered_version || state.at == step::ended) {
+            batch.reports.push_back(report_of(task, state));
+        }
+    }
+    return batch;
+}
+
+void gang_member::reports_delivered(std::uint64_t from, std::uint64_t delivered, std::uint64_t term)
+{
+    if (term > this->delivered_term) {
+        this->delivered_term = term;
+        this->delivered_version = 0;
+    }
+    if (term == this->delivered_term && from <= this->delivered_version) {
+        this->delivered_version = std::max(this->delivered_version, delivered);
+    }
+}
+
 bool gang_member::take_changed()
 {
     return std::exchange(this->changed, false);
--- a/src/libmembership/gang_member_test.cpp
+++ b/src/libmembership/gang_member_test.cpp
@@ -212,6 +212,31 @@
     CHECK(agent.only_report().speed_percent == 40);
 }
 
+// Guards against a report that is left out before the present leader has seen it.
+TEST_CASE("unchanged members are left out once the present leader has seen them")
+{
+    fixture agent;
+    agent.run();
+    const report_batch first = agent.member.changed_reports();
+    CHECK(first.reports.size() == 1);
+    agent.member.reports_delivered(first.from, first.version, 1);
+    const report_batch second = agent.member.changed_reports();
+    CHECK(second.reports.empty());
+    // The second poll is answered by a new leader, which has not seen the first.
+    agent.member.reports_delivered(second.from, second.version, 2);
+    CHECK(agent.member.changed_reports().reports.size() == 1);
+    agent.member.reports_delivered(first.from, first.version, 1);
+    agent.member.reports_delivered(second.from, second.version, 2);
+    CHECK(agent.member.changed_reports().reports.size() == 1);
+    const report_batch third = agent.member.changed_reports();
+    agent.member.reports_delivered(third.from, third.version, 2);
+    CHECK(agent.member.changed_reports().reports.empty());
+    agent.member.task_ended(agent.task, task_outcome::done);
+    const report_batch last = agent.member.changed_reports();
+    agent.member.reports_delivered(last.from, last.version, 2);
+    CHECK(agent.member.changed_reports().reports.size() == 1);
+}
+
 // Guards against repeated checkpoints and against a stop that is given up after one lost action.
 TEST_CASE("a checkpoint is asked once and a stop is repeated until the end")
 {
--- a/src/libmembership/gang_simulation.cpp
+++ b/src/libmembership/gang_simulation.cpp
@@ -29,6 +29,7 @@
     this->victim = this->draw(borrower_size);
     this->choose_rates();
     this->polls_on_change = this->draw(2) == 0;
+    this->reports_changes_only = this->draw(2) == 0;
     for (std::size_t index = 0; index < 2; ++index) {
         this->replicas.push_back(
             {permit_granter(this->node_clock(worker_count + index), this->permits), {}});
@@ -204,7 +205,7 @@
     for (const member_report& report : poll.reports) {
         this->coordinator->on_report(worker, poll.incarnation, report);
     }
-    poll_answer answer{poll.incarnation, poll.sequence, {}, {}};
+    poll_answer answer{poll.incarnation, poll.sequence, this->leadership, {}, {}};
     answer.commands = this->coordinator->commands_for(worker, poll.incarnation);
     const bool north = poll.worker < borrower_size;
     answer.granted =
--- a/src/libmembership/gang_simulation.h
+++ b/src/libmembership/gang_simulation.h
@@ -91,6 +91,11 @@
         bool end_seen = false;
         task_outcome outcome = task_outcome::none;
     };
+    struct sent_poll {
+        steady_time sent_at{};
+        std::uint64_t from = 0;
+        std::uint64_t version = 0;
+    };
     struct agent {
         std::uint64_t generation = 0;
         bool alive = false;
@@ -98,7 +103,7 @@
         bool pause_at_next_start = false;
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
-        std::map<std::uint64_t, steady_time> sent_at;
+        std::map<std::uint64_t, sent_poll> sent;
         std::unique_ptr<permit_holder> permits;
         std::unique_ptr<gang_member> member;
         std::vector<host_task> tasks;
@@ -121,6 +126,7 @@
     struct poll_answer {
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
+        std::uint64_t term = 0;
         permit granted;
         std::vector<gang_command> commands;
     };
@@ -208,6 +214,7 @@
     bool withdraw_after_grant = false;
     bool leader_changed = false;
     bool polls_on_change = false;
+    bool reports_changes_only = false;
 
     std::uint64_t last_epoch = 0;
     int borrower_places = 0;
--- a/src/libmembership/gang_simulation_agents.cpp
+++ b/src/libmembership/gang_simulation_agents.cpp
@@ -36,7 +36,7 @@
     started.paused_until = {};
     started.incarnation = 1 + this->random() / 2;
     started.sequence = 0;
-    started.sent_at.clear();
+    started.sent.clear();
     started.permits = std::make_unique<permit_holder>(this->node_clock(worker), this->permits);
     gang_member_options options;
     options.delivery_allowance = delivery_allowance;
@@ -93,8 +93,11 @@
 {
     agent& present = this->agents[worker];
     const std::uint64_t sequence = ++present.sequence;
-    present.sent_at[sequence] = this->node_clock(worker)();
-    const poll_message message{worker, present.incarnation, sequence, present.member->reports()};
+    const report_batch changes = present.member->changed_reports();
+    present.sent[sequence] = {this->node_clock(worker)(), changes.from, changes.version};
+    const poll_message message{worker, present.incarnation, sequence,
+                               this->reports_changes_only ? changes.reports
+                                                          : present.member->reports()};
     this->send(this->to_leader[worker], [this, message] { this->receive_poll(message); });
 }
 
@@ -104,9 +107,10 @@
     this->agent_event(worker, 0ns, [this, worker, answer] {
         agent& present = this->agents[worker];
         const std::uint64_t change_before = present.permits->change_index();
-        const auto sent = present.sent_at.find(answer.sequence);
-        if (answer.incarnation == present.incarnation && sent != present.sent_at.end()) {
-            static_cast<void>(present.permits->accept(answer.granted, sent->second, 1));
+        const auto sent = present.sent.find(answer.sequence);
+        if (answer.incarnation == present.incarnation && sent != present.sent.end()) {
+            static_cast<void>(present.permits->accept(answer.granted, sent->second.sent_at, 1));
+            present.member->reports_delivered(sent->second.from, sent->second.version, answer.term);
         }
         this->check(present.permits->change_index() >= change_before,
                     "an older change is never taken back", "");
