--- a/src/include/redwingwheel/gang.h
+++ b/src/include/redwingwheel/gang.h
@@ -71,6 +71,13 @@
     gang_member_faults faults;
 };
 
+/// What a poll carries: the changes after version `from` up to `version`.
+struct report_batch {
+    std::uint64_t from = 0;
+    std::uint64_t version = 0;
+    std::vector<member_report> reports;
+};
+
 /// The agent's side: the only authority over the worker's slots and accelerators for tasks.
 ///
 /// For each answer to a poll the caller first accepts the permit, then handles every command, in
@@ -91,11 +98,20 @@
 
     void task_started(const task_key& task);
     void task_checkpointed(const task_key& task);
+    /// Before the start was sent the outcome is not_run, whatever is given.
     void task_ended(const task_key& task, task_outcome outcome);
 
-    /// State of every member for the next poll. Ended members stay until acknowledged.
+    /// State of every member. Ended members stay until acknowledged.
     [[nodiscard]] std::vector<member_report> reports() const;
 
+    /// The same, without the members that have not changed since an answered poll. All members come
+    /// again after a leader change, since the new leader has seen none.
+    [[nodiscard]] report_batch changed_reports() const;
+
+    /// Notes that the leader of `term` has answered a poll that carried the changes after `from` up
+    /// to `version`. Ignored when that leader may not have seen the changes before.
+    void reports_delivered(std::uint64_t from, std::uint64_t version, std::uint64_t term);
+
     /// True when a state changed since the last call; a poll sent at once then saves half a period.
     [[nodiscard]] bool take_changed();
 
@@ -124,6 +140,8 @@
         bool checkpointed = false;
         std::uint32_t speed_percent = 100;
         task_outcome outcome = task_outcome::none;
+        /// Counter of the member's changes at the last change of this task.
+        std::uint64_t version = 0;
     };
     using actions = std::vector<gang_action>;
 
@@ -144,6 +162,8 @@
     [[nodiscard]] steady_time task_lease_deadline() const;
     void begin_stop(const task_key& task, task_state& state, steady_time deadline, actions& out);
     void end(const task_key& task, task_state& state, task_outcome outcome);
+    void note_change(task_state& state);
+    [[nodiscard]] static member_report report_of(const task_key& task, const task_state& state);
 
     clock_function clock;
     permit_holder& permits;
@@ -151,6 +171,9 @@
     gang_member_options options;
     std::uint64_t highest_term = 0;
     bool changed = false;
+    std::uint64_t version = 0;
+    std::uint64_t delivered_version = 0;
+    std::uint64_t delivered_term = 0;
     std::map<task_key, task_state> tasks;
     std::set<task_key> ends;
     std::deque<task_key> ends_in_order;
@@ -238,8 +261,11 @@
 private:
     enum class member_step { reserving, ready, running, ended };
 
+    struct worker_state;
     struct member_state {
         gang_member_record record;
+        /// Entries of workers stay until the next restore.
+        worker_state* home = nullptr;
         member_step at = member_step::reserving;
         bool lost = false;
         bool checkpointed = false;
@@ -261,11 +287,16 @@
         bool broken = false;
         std::optional<steady_time> partial_since;
     };
+    /// Members of one gang on one worker.
+    struct local_members {
+        gang_state* gang = nullptr;
+        std::vector<std::uint32_t> indexes;
+    };
     struct worker_state {
         std::uint64_t incarnation = 0;
         steady_time last_grant{};
-        /// Jobs with a member here.
-        std::set<std::string, std::less<>> jobs;
+        /// By job. Kept per worker so that a poll costs no more for a larger gang.
+        std::map<std::string, local_members, std::less<>> jobs;
         /// Answers to reports of gangs that are not known.
         std::vector<gang_command> replies;
     };
@@ -273,11 +304,14 @@
 
     [[nodiscard]] worker_state& worker_entry(std::string_view worker);
     [[nodiscard]] bool cells_free(std::span<const gang_member_record> members) const;
-    void link_workers(std::string_view job, const gang_state& gang);
+    void link_workers(std::string_view job, gang_state& gang);
     void remove(gang_map::iterator gang);
 
     void reply_to_unknown(worker_state& worker, const member_report& report);
-    void note_report(member_state& member, std::uint64_t incarnation, const member_report& report);
+    /// True when the report changed what is known of the member.
+    static bool note_report(member_state& member, std::uint64_t incarnation,
+                            const member_report& report);
+    void change_incarnation(worker_state& worker, std::uint64_t incarnation);
     void evaluate(const std::string& job, gang_state& gang);
     void evaluate_reserving(const std::string& job, gang_state& gang);
     void evaluate_released(const std::string& job, gang_state& gang);
@@ -292,7 +326,7 @@
     void propose_end(const std::string& job, gang_state& gang, gang_end_reason reason);
 
     void apply_released(const gang_released& record);
-    void append_commands(const std::string& job, const gang_state& gang, std::string_view worker,
+    void append_commands(const std::string& job, const local_members& members,
                          std::vector<gang_command>& out) const;
     [[nodiscard]] std::optional<gang_command> command_for(const gang_state& gang,
                                                           const member_state& member) const;
--- a/src/libmembership/gang_simulation.h
+++ b/src/libmembership/gang_simulation.h
@@ -66,6 +66,8 @@
     milliseconds longest_after_break{0};
     /// Longest time in which some tasks of a gang ran and others did not, by true time.
     milliseconds longest_overlap{0};
+    /// Time from the reclaim until the whole of the owner's gang ran; zero when it never did.
+    milliseconds takeover{0};
     /// Digest of every start, end and log record with its time.
     std::uint64_t digest = 0;
 };
@@ -89,6 +91,11 @@
         bool end_seen = false;
         task_outcome outcome = task_outcome::none;
     };
+    struct sent_poll {
+        steady_time sent_at{};
+        std::uint64_t from = 0;
+        std::uint64_t version = 0;
+    };
     struct agent {
         std::uint64_t generation = 0;
         bool alive = false;
@@ -96,7 +103,7 @@
         bool pause_at_next_start = false;
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
-        std::map<std::uint64_t, steady_time> sent_at;
+        std::map<std::uint64_t, sent_poll> sent;
         std::unique_ptr<permit_holder> permits;
         std::unique_ptr<gang_member> member;
         std::vector<host_task> tasks;
@@ -119,6 +126,7 @@
     struct poll_answer {
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
+        std::uint64_t term = 0;
         permit granted;
         std::vector<gang_command> commands;
     };
@@ -206,11 +214,13 @@
     bool withdraw_after_grant = false;
     bool leader_changed = false;
     bool polls_on_change = false;
+    bool reports_changes_only = false;
 
     std::uint64_t last_epoch = 0;
     int borrower_places = 0;
     int owner_places = 0;
     bool reclaimed = false;
+    steady_time reclaimed_at{};
     bool borrower_over = false;
     bool owner_over = false;
     std::optional<steady_time> borrower_running_since;
