--- a/src/include/redwingwheel/placement_types.h
+++ b/src/include/redwingwheel/placement_types.h
@@ -85,6 +85,7 @@
     steady_time stop_deadline;       ///< The stop is sent now at the latest.
     std::string for_job;             ///< Empty when no job waits for the cells.
     std::string reason;
+    bool for_guarantee = false; ///< `for_job` takes its guarantee back: the reclaim bound holds.
 };
 
 /// The job is forgotten; it will not run (again).
--- a/src/libplacement/claims.cpp
+++ b/src/libplacement/claims.cpp
@@ -55,8 +55,10 @@
     return own;
 }
 
-/// As own_free, with the accelerators that borrowers hold.
-extra_capacity engine::implementation::own_reclaimable(const job_record& job) const
+/// As own_free, with the accelerators that borrowers hold; with `from_own_normal` also those of the
+/// account's own work of lower priority.
+extra_capacity engine::implementation::own_reclaimable(const job_record& job,
+                                                       bool from_own_normal) const
 {
     extra_capacity own = this->own_free(job);
     bool lent = false;
@@ -70,7 +72,8 @@
         for_each_accelerator(mask & host.held & ~promised, [&](std::uint32_t n) {
             const job_record& holder = this->jobs[host.holder[n]];
             const bool is_borrower = holder.spec.account != job.spec.account ||
-                                     holder.spec.priority == job_priority::low;
+                                     holder.spec.priority == job_priority::low ||
+                                     (from_own_normal && holder.spec.priority > job.spec.priority);
             if (is_borrower && (this->is_stoppable(holder.spec) || holder.broken ||
                                 holder.state == job_state::stopping)) {
                 own[index] |= accelerator_mask{1} << n;
@@ -91,14 +94,17 @@
     if (!may || this->book.cells_of(job.spec.account).empty()) {
         return false;
     }
-    const extra_capacity own = this->own_reclaimable(job);
-    if (own.empty()) {
-        return false;
-    }
     gang_request request = this->request_of(job);
     request.avoided = job.failed_on;
-    // No part of another account's cell: its owner could not take back what is promised here.
-    std::optional<gang_parts> found = this->search.find_with(request, capacity_view::common, own);
+    std::optional<gang_parts> found;
+    // The account's own normal work stops only when borrowers do not hold enough.
+    for (const bool from_own_normal : {false, true}) {
+        const extra_capacity own = this->own_reclaimable(job, from_own_normal);
+        // No part of another account's cell: its owner could not take back what is promised here.
+        if (!found.has_value() && !own.empty()) {
+            found = this->search.find_with(request, capacity_view::common, own);
+        }
+    }
     if (!found.has_value()) {
         return false;
     }
@@ -231,15 +237,44 @@
         total < std::max(2U, this->tree.largest_host() / 2)) {
         return false;
     }
-    const auto reservations =
-        std::count_if(this->claimants.begin(), this->claimants.end(), [this](job_slot slot) {
-            return this->jobs[slot].claim == claim_kind::reservation;
-        });
-    const std::uint64_t bound =
-        this->tree.accelerator_count() * this->options.reservation_percent / 100;
-    return reservations == 0 ||
-           (static_cast<std::uint32_t>(reservations) < this->options.max_reservations &&
-            this->reserved_accelerators() + total <= bound);
+    // Reservations of lower priority do not count: they give way.
+    std::uint32_t reservations = 0;
+    std::uint64_t reserved = 0;
+    for (const job_slot slot : this->claimants) {
+        const job_record& other = this->jobs[slot];
+        if (other.claim == claim_kind::reservation && other.spec.priority <= job.spec.priority) {
+            ++reservations;
+            reserved += total_of(other.claimed);
+        }
+    }
+    return reservations == 0 || (reservations < this->options.max_reservations &&
+                                 reserved + total <= this->reservation_bound());
+}
+
+std::uint64_t engine::implementation::reservation_bound() const
+{
+    return this->tree.accelerator_count() * this->options.reservation_percent / 100;
+}
+
+/// Drops reservations of lower priority until one of `total` accelerators is within the bounds.
+void engine::implementation::make_way(const job_record& job, std::uint64_t total)
+{
+    std::vector<job_slot> lower;
+    std::uint32_t reservations = 0;
+    for (const job_slot slot : this->claimants) {
+        if (this->jobs[slot].claim == claim_kind::reservation) {
+            ++reservations;
+            if (this->jobs[slot].spec.priority > job.spec.priority) {
+                lower.push_back(slot);
+            }
+        }
+    }
+    while (!lower.empty() && (reservations >= this->options.max_reservations ||
+                              this->reserved_accelerators() + total > this->reservation_bound())) {
+        this->drop_claim(lower.back());
+        lower.pop_back();
+        --reservations;
+    }
 }
 
 /// Plans where a large job can run first, as far as forecasts tell, and keeps that place for it.
@@ -250,6 +285,7 @@
     }
     --this->plans_left;
     const job_record& job = this->jobs[slot];
+    this->make_way(job, std::uint64_t{job.spec.members} * job.spec.accelerators_per_member);
     const reservation_planner planner(*this, job);
     std::optional<reservation_plan> plan = planner.plan();
     if (!plan.has_value()) {
--- a/src/libplacement/decide.cpp
+++ b/src/libplacement/decide.cpp
@@ -102,9 +102,10 @@
     job.state = job_state::stopping;
     job.stop_reason = std::move(reason);
     job.record = {job.spec.id, "reclaimed", workers_of(this->tree, job.parts), job.stop_reason, {}};
-    out.push_back({reclaim_gang{job.spec.id, deadline, deadline, this->jobs[beneficiary].spec.id,
-                                job.stop_reason},
-                   job.record});
+    out.push_back(
+        {reclaim_gang{job.spec.id, deadline, deadline, this->jobs[beneficiary].spec.id,
+                      job.stop_reason, this->jobs[beneficiary].claim == claim_kind::reclaim},
+         job.record});
 }
 
 /// A reservation inside another account's cell ends when that cell is closed for its owner.
--- a/src/libplacement/engine_state.h
+++ b/src/libplacement/engine_state.h
@@ -119,13 +119,15 @@
 
     // claims.cpp: reclaim, reservation, backfill, evacuation.
     extra_capacity own_free(const job_record& job) const;
-    extra_capacity own_reclaimable(const job_record& job) const;
+    extra_capacity own_reclaimable(const job_record& job, bool from_own_normal) const;
     bool reclaim(job_slot slot, std::vector<decision>& out);
     bool overrule_reservations(job_slot slot, std::vector<decision>& out);
     bool backfill(job_slot slot, std::vector<decision>& out);
     bool reserve(job_slot slot);
     bool wants_reservation(const job_record& job) const;
     std::uint64_t reserved_accelerators() const;
+    std::uint64_t reservation_bound() const;
+    void make_way(const job_record& job, std::uint64_t total);
     void evacuate(std::vector<decision>& out);
     bool move(job_slot slot, std::vector<decision>& out);
     void drop_overlapped(job_slot slot, const gang_parts& parts);
--- a/src/libplacement/guarding.cpp
+++ b/src/libplacement/guarding.cpp
@@ -157,8 +157,12 @@
         if ((owned_by_others & part.accelerators) != 0 && !may_borrow) {
             return false;
         }
-        const occupancy held = this->occupancy_of(part.host, part.accelerators, job.spec.account);
-        if (job.claim == claim_kind::reclaim && held.pinned + held.own > 0) {
+        const host_state& host = this->tree.host(part.host);
+        bool all_stop = true;
+        for_each_accelerator(part.accelerators & host.held, [&](std::uint32_t n) {
+            all_stop = all_stop && this->jobs[host.holder[n]].state == job_state::stopping;
+        });
+        if (job.claim == claim_kind::reclaim && !all_stop) {
             return false;
         }
     }
