--- a/src/libplacement/claims.cpp
+++ b/src/libplacement/claims.cpp
@@ -84,14 +84,18 @@
     return lent ? own : extra_capacity{};
 }
 
-bool engine::implementation::reclaim(job_slot slot, std::vector<decision>& out)
+bool engine::implementation::may_reclaim(const job_record& job) const
 {
-    const job_record& job = this->jobs[slot];
-    const steady_time now = this->clock();
     const bool may = job.spec.priority == job_priority::urgent ||
                      (job.spec.priority == job_priority::normal &&
-                      now >= job.submitted + this->options.normal_reclaim_wait);
-    if (!may || this->book.cells_of(job.spec.account).empty()) {
+                      this->clock() >= job.submitted + this->options.normal_reclaim_wait);
+    return may && !this->book.cells_of(job.spec.account).empty();
+}
+
+bool engine::implementation::reclaim(job_slot slot, std::vector<decision>& out)
+{
+    const job_record& job = this->jobs[slot];
+    if (!this->may_reclaim(job)) {
         return false;
     }
     gang_request request = this->request_of(job);
--- a/src/libplacement/decide.cpp
+++ b/src/libplacement/decide.cpp
@@ -21,14 +21,14 @@
     std::uint32_t members = 0;
     std::uint32_t accelerators = 0;
     cell_level adjacency = cell_level::accelerator;
-    bool is_low = false;
+    job_priority priority = job_priority::normal;
     bool may_borrow = false;
     friend bool operator<(const search_shape& left, const search_shape& right)
     {
-        return std::tie(left.account, left.members, left.accelerators, left.adjacency, left.is_low,
-                        left.may_borrow) < std::tie(right.account, right.members,
-                                                    right.accelerators, right.adjacency,
-                                                    right.is_low, right.may_borrow);
+        return std::tie(left.account, left.members, left.accelerators, left.adjacency,
+                        left.priority, left.may_borrow) <
+               std::tie(right.account, right.members, right.accelerators, right.adjacency,
+                        right.priority, right.may_borrow);
     }
 };
 
@@ -184,6 +184,7 @@
     }
 
     std::set<search_shape> useless;
+    std::set<search_shape> useless_reclaim;
     std::uint32_t starts = 0;
     for (const job_slot slot : looked_at) {
         const job_record& job = this->jobs[slot];
@@ -195,10 +196,13 @@
                                  job.spec.members,
                                  job.spec.accelerators_per_member,
                                  job.spec.adjacency,
-                                 job.spec.priority == job_priority::low,
+                                 job.spec.priority,
                                  this->is_stoppable(job.spec)};
         const bool plain = job.failed_on.empty();
-        if (this->place(slot, plain && useless.contains(shape), out)) {
+        // Nothing becomes free during a turn, so what failed once fails for all jobs alike.
+        const bool could_reclaim = this->may_reclaim(job);
+        if (this->place(slot, plain && useless.contains(shape),
+                        plain && useless_reclaim.contains(shape), out)) {
             if (++starts >= this->options.max_starts_per_decide) {
                 this->resume_after = job.key;
                 return;
@@ -206,6 +210,9 @@
         }
         else if (plain) {
             useless.insert(shape);
+            if (could_reclaim) {
+                useless_reclaim.insert(shape);
+            }
         }
     }
 }
@@ -267,7 +274,7 @@
     return found;
 }
 
-bool engine::implementation::place(job_slot slot, bool search_is_useless,
+bool engine::implementation::place(job_slot slot, bool search_is_useless, bool reclaim_is_useless,
                                    std::vector<decision>& out)
 {
     if (!search_is_useless) {
@@ -280,7 +287,7 @@
     if (this->jobs[slot].claim == claim_kind::none && this->overrule_reservations(slot, out)) {
         return true;
     }
-    if (this->reclaim(slot, out) || this->backfill(slot, out)) {
+    if ((!reclaim_is_useless && this->reclaim(slot, out)) || this->backfill(slot, out)) {
         return true;
     }
     this->reserve(slot);
--- a/src/libplacement/engine.cpp
+++ b/src/libplacement/engine.cpp
@@ -418,8 +418,8 @@
     job.borrowed = false;
     job.uses_guarantee = false;
     job.backfill_of = no_job;
-    // Work that must not be stopped may have kept a cell from its owner.
-    if (!this->is_stoppable(job.spec) && !this->book.guarantees().empty()) {
+    // A cell with work in it that must not be stopped may have a better place now.
+    if (this->has_pinned_cells) {
         this->cells_changed = true;
     }
 }
--- a/src/libplacement/engine_state.h
+++ b/src/libplacement/engine_state.h
@@ -93,6 +93,7 @@
     occupancy occupancy_of(host_index host, accelerator_mask mask, std::string_view account) const;
     accelerator_mask owned_by(const job_spec& job, host_index host) const;
     accelerator_mask kept_from(const job_spec& job, host_index host) const;
+    bool any_cell_is_pinned() const;
     void apply_cells();
     void update_closed();
     void revalidate_claims();
@@ -109,7 +110,9 @@
     bool is_shut_out(const job_record& job) const;
     void start_claimants(std::vector<decision>& out);
     void scan_queue(std::vector<decision>& out);
-    bool place(job_slot slot, bool search_is_useless, std::vector<decision>& out);
+    bool place(job_slot slot, bool search_is_useless, bool reclaim_is_useless,
+               std::vector<decision>& out);
+    bool may_reclaim(const job_record& job) const;
     void start(job_slot slot, gang_parts parts, std::vector<decision>& out);
     void stop_for(job_slot holder, job_slot beneficiary, std::string reason,
                   std::vector<decision>& out);
@@ -160,6 +163,7 @@
     std::uint64_t last_sequence = 0;
     std::optional<queue_key> resume_after; ///< Where the last turn's scan ended at its bound.
     std::uint32_t plans_left = 0;          ///< Reservations that this turn may still plan.
+    bool has_pinned_cells = false;         ///< Since the last assignment of cells.
     bool terms_changed = false;            ///< Guarantees changed.
     bool cells_changed = false;            ///< Inventory or guarantees changed.
 };
--- a/src/libplacement/guarding.cpp
+++ b/src/libplacement/guarding.cpp
@@ -53,6 +53,7 @@
         this->book.assign(occupied);
     }
     this->terms_changed = false;
+    this->has_pinned_cells = this->any_cell_is_pinned();
     this->apply_cells();
     this->revalidate_claims();
     this->update_closed();
@@ -78,6 +79,21 @@
     return found;
 }
 
+bool engine::implementation::any_cell_is_pinned() const
+{
+    for (const guarantee_state& state : this->book.guarantees()) {
+        for (const cell& one : state.cells) {
+            for (const host_part& part : this->book.parts_of(one.place)) {
+                if (this->occupancy_of(part.host, part.accelerators, state.terms.account).pinned >
+                    0) {
+                    return true;
+                }
+            }
+        }
+    }
+    return false;
+}
+
 void engine::implementation::apply_cells()
 {
     for (host_index host = 0; host < this->tree.host_count(); ++host) {
--- a/src/libplacement/property_test.cpp
+++ b/src/libplacement/property_test.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+const std::string nothing;
+
 constexpr std::uint64_t fixed_seeds = 60;
 constexpr std::uint32_t steps_per_seed = 500;
 
@@ -40,7 +42,7 @@
 {
     for (std::uint64_t seed = 1; seed <= fixed_seeds; ++seed) {
         INFO("seed " << seed);
-        REQUIRE(run(seed, {}) == "");
+        REQUIRE(run(seed, {}) == nothing);
     }
 }
 
@@ -68,8 +70,8 @@
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
         property_world first(seed, {});
         property_world second(seed, {});
-        REQUIRE(first.run(steps_per_seed) == "");
-        REQUIRE(second.run(steps_per_seed) == "");
+        REQUIRE(first.run(steps_per_seed) == nothing);
+        REQUIRE(second.run(steps_per_seed) == nothing);
         REQUIRE_FALSE(first.transcript().empty());
         REQUIRE(first.transcript() == second.transcript());
     }
@@ -82,7 +84,7 @@
     const char* const fixed = std::getenv("REDWINGWHEEL_PLACEMENT_SEED");
     const char* const wanted = std::getenv("REDWINGWHEEL_PLACEMENT_SECONDS");
     if (fixed != nullptr) {
-        REQUIRE(run(std::strtoull(fixed, nullptr, 10), {}) == "");
+        REQUIRE(run(std::strtoull(fixed, nullptr, 10), {}) == nothing);
     }
     if (wanted == nullptr) {
         return;
@@ -98,7 +100,7 @@
         if (!broken.empty()) {
             std::cout << "seed " << seed << ": " << broken << "\n";
         }
-        REQUIRE(broken == "");
+        REQUIRE(broken == nothing);
     }
     std::cout << histories << " histories with fresh seeds\n";
 }
--- a/src/redwingwheel-replay/replay_test.cpp
+++ b/src/redwingwheel-replay/replay_test.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+const std::string nothing;
+
 const std::string header = R"({"type":"trace","version":1,"name":"t","end_ms":60000})"
                            "\n"
                            R"({"type":"worker","name":"w0","data_centre":"a","rack":"r0",)"
@@ -42,7 +44,7 @@
 TEST_CASE("a malformed line is one error with file, line, field, value and what is allowed",
           "[replay]")
 {
-    REQUIRE(error_of(header) == "");
+    REQUIRE(error_of(header) == nothing);
     REQUIRE(error_of(header + "{\"type\":\"party\"}\n")
                 .starts_with("t.jsonl:4: type: \"party\"; allowed: trace, worker, account"));
     REQUIRE(error_of(header + R"({"type":"account","name":"x","colour":1})")
