--- a/src/redwingwheelctl/job_commands.cpp
+++ b/src/redwingwheelctl/job_commands.cpp
@@ -24,8 +24,8 @@
 {
     for (const std::string_view key :
          {"id", "account", "service", "state", "reason", "members", "accelerators_per_member",
-          "adjacency", "priority", "workers", "starts", "cancel_requested",
-          "borrowed", "uses_guarantee", "submitted_unix_ms", "started_unix_ms", "ended_unix_ms"}) {
+          "adjacency", "priority", "workers", "starts", "cancel_requested", "borrowed",
+          "uses_guarantee", "submitted_unix_ms", "started_unix_ms", "ended_unix_ms"}) {
         out << fmt::format("{:<24} {}\n", key, text_of(job, key));
     }
 }
@@ -192,8 +192,8 @@
          {},
          "Submit a job",
          "Without --id an identity is drawn. After a lost answer submit again with the same --id.",
-         {"service", "id", "account", "members", "accelerators", "adjacency", "priority",
-          "run-ms", "parameters"},
+         {"service", "id", "account", "members", "accelerators", "adjacency", "priority", "run-ms",
+          "parameters"},
          {"job submit --service recounts --accelerators 4 --adjacency group",
           "job submit --service timetable-builds --members 4 --accelerators 2 --adjacency rack "
           "--run-ms 600000 --id 1767225600-s4",
