Print lagging processes and exact values in differences

Cause: an empty value and a missing thing looked alike in "release diff", and the processes that have not taken a revision over were not named. Conclusion: the output says which process to look at.

--- a/src/redwingwheelctl/ctl_test.cpp
+++ b/src/redwingwheelctl/ctl_test.cpp
@@ -306,6 +306,21 @@
     REQUIRE(entry.requests().empty());
 }
 
+// Guards against printed differences in which an empty value looks like a missing thing.
+TEST_CASE_METHOD(tool_fixture, "differences and processes that lag are printed", "[ctl]")
+{
+    fake_entry entry({{200,
+                       R"({"differences":[{"kind":"agreements","key":"a1","field":"data_centre",)"
+                       R"("before":"","after":null}]})",
+                       ""},
+                      {200, R"({"revision":2,"in_force":false,"lagging":["w1","w2"]})", ""}});
+    REQUIRE(this->run({"release", "diff", "1", "2", "--entry", entry.address()}).out ==
+            "agreements/a1/data_centre: \"\" -> null\n");
+    REQUIRE(this->run({"release", "apply", "note.yaml", "--entry", entry.address()}).out ==
+            "accepted as revision 2\nnot yet everywhere; missing: w1,w2\n");
+    REQUIRE(contains(entry.requests()[0], "GET /v1/releases/diff?from=1&to=2 "));
+}
+
 // Guards against a watch that stops at the first answer.
 TEST_CASE_METHOD(tool_fixture, "watch repeats the status", "[ctl]")
 {
--- a/src/redwingwheelctl/release_commands.cpp
+++ b/src/redwingwheelctl/release_commands.cpp
@@ -16,8 +16,13 @@
 void print_applied(std::ostream& out, const nlohmann::json& answer)
 {
     out << fmt::format("accepted as revision {}{}\n", text_of(answer, "revision"),
-                       answer.value("resend", false) ? ", some time before" : "");
-    out << (answer.value("in_force", false) ? "in force everywhere\n" : "not yet everywhere\n");
+                       answer.value("resend", false) ? " by an earlier call" : "");
+    if (answer.value("in_force", false)) {
+        out << "in force everywhere\n";
+        return;
+    }
+    const std::string lagging = text_of(answer, "lagging");
+    out << fmt::format("not yet everywhere{}\n", lagging == "-" ? "" : "; missing: " + lagging);
 }
 
 exit_status apply(const command_context& context)
@@ -107,8 +112,10 @@
 void print_differences(std::ostream& out, const nlohmann::json& answer)
 {
     for (const nlohmann::json& each : list_of(answer, "differences")) {
+        // As JSON, so that an empty value differs from a thing that does not exist.
         out << fmt::format("{}/{}/{}: {} -> {}\n", text_of(each, "kind"), text_of(each, "key"),
-                           text_of(each, "field"), text_of(each, "before"), text_of(each, "after"));
+                           text_of(each, "field"), each.value("before", nlohmann::json()).dump(),
+                           each.value("after", nlohmann::json()).dump());
     }
 }
 
