Count accelerators used twice in the backend server's stand-in

Cause: tasks hold accelerators and no request slots, so counting a task as a slot shows an excess that is none; and nothing showed whether an owner and a borrower overlap, or a gang runs only in part. Ruled out: refusing a start on a used accelerator, because that would hide the agent's error. Conclusion: an end-to-end case can check the overlap of tasks over all stand-ins of one host.

--- a/src/testing/backend_model.cpp
+++ b/src/testing/backend_model.cpp
@@ -13,6 +13,11 @@
 
 constexpr std::int64_t longest_ms = 3'600'000;
 
+std::int64_t as_ms(steady_time time)
+{
+    return std::chrono::duration_cast<milliseconds>(time.time_since_epoch()).count();
+}
+
 std::uint64_t doubles(const std::map<std::string, std::uint64_t, std::less<>>& counts)
 {
     return static_cast<std::uint64_t>(std::count_if(
@@ -82,6 +87,7 @@
 void backend_model::start_task(const task_spec& spec)
 {
     const steady_time now = this->clock();
+    this->note_accelerators(spec);
     ++this->task_counts[spec.id];
     task_state& task = this->tasks[spec.id];
     task = {};
@@ -91,6 +97,16 @@
     this->note_arrival();
 }
 
+/// Counts a start on an accelerator that another task still uses.
+void backend_model::note_accelerators(const task_spec& spec)
+{
+    this->advance();
+    for (const auto& [id, task] : this->tasks) {
+        const bool shared = (task.spec.accelerator_mask & spec.accelerator_mask) != 0;
+        this->double_accelerators += shared && task.at == task_step::running ? 1 : 0;
+    }
+}
+
 backend_model::task_state* backend_model::running(std::string_view id)
 {
     this->advance();
@@ -252,7 +268,16 @@
 nlohmann::json backend_model::log()
 {
     this->advance();
+    nlohmann::json times = nlohmann::json::object();
+    for (const auto& [id, task] : this->tasks) {
+        times[id] = {{"state", to_text(task.at)}, {"started_ms", as_ms(task.started_at)}};
+        if (task.at != task_step::running) {
+            times[id]["ended_ms"] = as_ms(task.ended_at);
+        }
+    }
     return {{"name", this->name},
+            {"task_times", times},
+            {"double_accelerators", this->double_accelerators},
             {"requests", this->request_counts},
             {"tasks", this->task_counts},
             {"double_requests", doubles(this->request_counts)},
