End the claims of a replaced incarnation only when it stays away

Cause: the worker table accepts a former incarnation again when it goes on polling, since a late poll of a dead process can look like a restart. The controller ended the claims of the living agent at once in that case. Ruled out: never ending them, because a resend would wait for a dead process for good. Change: the claims end once the incarnation has not come back within a permit's life. Conclusion: an agent that goes on keeps its claims.

--- a/src/include/redwingwheel/controller.h
+++ b/src/include/redwingwheel/controller.h
@@ -106,7 +106,7 @@
     void update_guarantees();
     void restore_jobs();
     void lose_workers();
-    void note_new_incarnation(const std::string& worker, std::uint64_t incarnation);
+    void end_claims_of_replaced();
     void mark_claims_unknown(const std::string& worker, std::uint64_t incarnation);
     void take_announcement(const messages::agent_poll& from, messages::agent_poll_answer& answer);
     void take_usage(const messages::agent_poll& from, messages::agent_poll_answer& answer);
@@ -148,6 +148,14 @@
     std::set<std::string, std::less<>> announcing;
     std::set<std::string, std::less<>> recording_usage;
     std::set<std::string, std::less<>> marked_gone;
+    /// An incarnation that was followed by another. A late poll of a former process can look like
+    /// that, so its claims end only when it has not come back within a permit's life.
+    struct replaced_incarnation {
+        std::string worker;
+        std::uint64_t incarnation = 0;
+        steady_time deadline;
+    };
+    std::vector<replaced_incarnation> replaced;
 };
 
 /// The guarantees that the configuration's agreements give on the day of `now_ms`, oldest first.
--- a/src/libcontrol/controller.cpp
+++ b/src/libcontrol/controller.cpp
@@ -127,6 +127,7 @@
     this->announcing.clear();
     this->recording_usage.clear();
     this->marked_gone.clear();
+    this->replaced.clear();
     for (const auto& [name, worker] : this->state.workers()) {
         this->add_worker(worker);
         this->workers.expect(name);
@@ -391,9 +392,10 @@
         return answer;
     }
     if (verdict.new_incarnation) {
-        this->note_new_incarnation(from.worker, from.incarnation);
+        this->coordinator.on_worker_incarnation(from.worker, from.incarnation);
         if (former != 0) {
-            this->mark_claims_unknown(from.worker, former);
+            this->replaced.push_back(
+                {from.worker, former, this->clock() + this->options.permits.surely_ended_after()});
         }
     }
     if (verdict.returned) {
@@ -417,9 +419,20 @@
     return answer;
 }
 
-void controller::note_new_incarnation(const std::string& worker, std::uint64_t incarnation)
+void controller::end_claims_of_replaced()
 {
-    this->coordinator.on_worker_incarnation(worker, incarnation);
+    const steady_time now = this->clock();
+    std::vector<replaced_incarnation> waiting;
+    for (replaced_incarnation& each : this->replaced) {
+        const membership::worker_view* const view = this->workers.find(each.worker);
+        if (now < each.deadline) {
+            waiting.push_back(std::move(each));
+        }
+        else if (view == nullptr || view->incarnation != each.incarnation) {
+            this->mark_claims_unknown(each.worker, each.incarnation);
+        }
+    }
+    this->replaced = std::move(waiting);
 }
 
 void controller::mark_claims_unknown(const std::string& worker, std::uint64_t incarnation)
@@ -565,6 +578,7 @@
         return;
     }
     this->lose_workers();
+    this->end_claims_of_replaced();
     this->coordinator.tick();
     for (membership::gang_proposal& step : this->coordinator.take_proposals()) {
         this->propose(gang_step_command{std::move(step), this->hooks.wall_clock_ms()});
