Halve the memory of the claim table

Cause: account and key were stored four times per claim, once in each index. Ruled out: a smaller bound on records alone; the copies bought nothing. Change: records stay at one address and the indexes point to them. The bound on records is 100,000, of one account 25,000, so that the table stays under 100 MB. A table can be moved, no longer copied.

--- a/src/include/redwingwheel/claims.h
+++ b/src/include/redwingwheel/claims.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -154,8 +155,10 @@
     std::size_t body_bound_bytes = 64 * 1024;
     /// All recorded bodies together; the oldest bodies give way.
     std::size_t bodies_bound_bytes = 32 << 20;
-    std::size_t records_bound = 200'000;
-    std::size_t account_records_bound = 50'000;
+    /// A record takes about 600 bytes without its body, so these bounds keep the table under 100
+    /// MB.
+    std::size_t records_bound = 100'000;
+    std::size_t account_records_bound = 25'000;
     std::size_t key_length_bound = 200;
 };
 
@@ -222,13 +225,20 @@
         logged_ms marked_at = 0;
         MSGPACK_DEFINE(worker, incarnation, marked_at)
     };
-    struct ending {
-        logged_ms ended_at = 0;
-        claim_id id;
-        MSGPACK_DEFINE(ended_at, id)
-        [[nodiscard]] bool operator<(const ending& other) const
+    /// Names a record by views into the record itself.
+    struct claim_view {
+        std::string_view account;
+        std::string_view key;
+        [[nodiscard]] bool operator<(const claim_view& other) const
+        {
+            return std::tie(this->account, this->key) < std::tie(other.account, other.key);
+        }
+    };
+    /// Order of ending; the same on every replica.
+    struct ends_before {
+        [[nodiscard]] bool operator()(const claim_record* left, const claim_record* right) const
         {
-            return std::tie(this->ended_at, this->id) < std::tie(other.ended_at, other.id);
+            return std::tie(left->ended_at, left->id) < std::tie(right->ended_at, right->id);
         }
     };
     static constexpr std::uint32_t snapshot_version = 1;
@@ -261,18 +271,19 @@
     void end(claim_record& record, claim_state state);
     void record_answer(claim_record& record, const answer& given);
     void drop_body(claim_record& record);
-    [[nodiscard]] bool insert_restored(claim_record record);
-    void forget(const claim_id& id);
+    [[nodiscard]] bool insert_restored(claim_record taken);
+    void forget(claim_record& record);
     void advance(logged_ms now);
 
     claim_options options;
     claim_rules rules;
-    std::map<claim_id, claim_record> records;
+    /// Records stay where they are, so that the indexes below hold plain pointers to them.
+    std::map<claim_view, std::unique_ptr<claim_record>> records;
     /// Present and former attempts of all records.
-    std::unordered_map<attempt_id, claim_id> attempts;
+    std::unordered_map<attempt_id, claim_record*> attempts;
     std::set<attempt_id> running;
-    std::set<ending> endings;
-    std::set<ending> bodies;
+    std::set<claim_record*, ends_before> endings;
+    std::set<claim_record*, ends_before> bodies;
     std::map<std::string, std::size_t, std::less<>> account_records;
     std::deque<gone_incarnation> gone;
     /// The incarnations in `gone`; the numbers are random, so a hit is nearly always the worker's.
--- a/src/librequest/claims.cpp
+++ b/src/librequest/claims.cpp
@@ -93,17 +93,18 @@
 claim_result claim_table::apply_one(const begin_claim& command)
 {
     this->advance(command.issued_at);
-    const claim_id id{command.account, command.key};
-    const auto found = this->records.find(id);
+    const auto found = this->records.find(claim_view{command.account, command.key});
     if (found != this->records.end()) {
-        return this->begin_known(found->second, command);
+        return this->begin_known(*found->second, command);
     }
     if (const std::optional<claim_verdict> refused = this->reason_to_refuse(command)) {
         return verdict_only(*refused);
     }
-    claim_record& record = this->records[id];
-    record.id = id;
+    std::unique_ptr<claim_record> added = std::make_unique<claim_record>();
+    claim_record& record = *added;
+    record.id = claim_id{command.account, command.key};
     record.payload_digest = command.payload_digest;
+    this->records.emplace(claim_view{record.id.account, record.id.key}, std::move(added));
     ++this->account_records[command.account];
     this->assign(record, command.attempt, command.worker, command.incarnation);
     return this->describe(record, claim_verdict::granted);
@@ -235,8 +236,8 @@
 {
     this->advance(command.now);
     const logged_ms ended_before = this->latest - this->options.kept_ms;
-    while (!this->endings.empty() && this->endings.begin()->ended_at <= ended_before) {
-        this->forget(claim_id(this->endings.begin()->id));
+    while (!this->endings.empty() && (*this->endings.begin())->ended_at <= ended_before) {
+        this->forget(**this->endings.begin());
     }
     while (!this->gone.empty() && this->gone.front().marked_at <= ended_before) {
         this->gone_ids.erase(this->gone.front().incarnation);
@@ -248,15 +249,15 @@
 claim_result claim_table::look_up(std::string_view account, std::string_view key,
                                   std::uint64_t payload_digest) const
 {
-    const auto found = this->records.find(claim_id{std::string(account), std::string(key)});
+    const auto found = this->records.find(claim_view{account, key});
     if (found == this->records.end()) {
         const std::optional<claim_verdict> refused = this->refuse_key(key);
         return verdict_only(refused.value_or(claim_verdict::unclaimed));
     }
-    if (this->rules.check_digest && found->second.payload_digest != payload_digest) {
+    if (this->rules.check_digest && found->second->payload_digest != payload_digest) {
         return verdict_only(claim_verdict::conflict);
     }
-    return this->describe(found->second);
+    return this->describe(*found->second);
 }
 
 claim_result claim_table::describe(const claim_record& known) const
@@ -291,7 +292,7 @@
 claim_table::claim_record* claim_table::find_by_attempt(attempt_id attempt)
 {
     const auto found = this->attempts.find(attempt);
-    return found == this->attempts.end() ? nullptr : &this->records.at(found->second);
+    return found == this->attempts.end() ? nullptr : found->second;
 }
 
 bool claim_table::attempt_used(attempt_id attempt) const
@@ -314,14 +315,17 @@
     if (record.attempt != 0) {
         record.former.push_back(record.attempt);
         this->running.erase(record.attempt);
-        this->endings.erase(ending{record.ended_at, record.id});
+        if (this->bodies.contains(&record)) {
+            this->drop_body(record);
+        }
+        this->endings.erase(&record);
     }
     record.attempt = attempt;
     record.worker = worker;
     record.incarnation = incarnation;
     record.state = claim_state::running;
     record.ended_at = 0;
-    this->attempts.emplace(attempt, record.id);
+    this->attempts.emplace(attempt, &record);
     this->running.insert(attempt);
 }
 
@@ -331,7 +335,7 @@
     if (record.state == claim_state::running) {
         this->running.erase(record.attempt);
         record.ended_at = this->latest;
-        this->endings.insert(ending{record.ended_at, record.id});
+        this->endings.insert(&record);
     }
     record.state = state;
 }
@@ -341,40 +345,39 @@
     record.given = given;
     record.body_kept = true;
     this->body_bytes += record.given.body.size();
-    this->bodies.insert(ending{record.ended_at, record.id});
+    this->bodies.insert(&record);
     if (given.body.size() > this->options.body_bound_bytes) {
         this->drop_body(record);
     }
     while (this->body_bytes > this->options.bodies_bound_bytes) {
-        this->drop_body(this->records.at(this->bodies.begin()->id));
+        this->drop_body(**this->bodies.begin());
     }
 }
 
 void claim_table::drop_body(claim_record& record)
 {
-    this->bodies.erase(ending{record.ended_at, record.id});
+    this->bodies.erase(&record);
     this->body_bytes -= record.given.body.size();
     record.body_kept = record.given.body.empty();
     record.given.body.clear();
     record.given.body.shrink_to_fit();
 }
 
-void claim_table::forget(const claim_id& id)
+void claim_table::forget(claim_record& record)
 {
-    claim_record& record = this->records.at(id);
-    if (this->bodies.contains(ending{record.ended_at, id})) {
+    if (this->bodies.contains(&record)) {
         this->drop_body(record);
     }
-    this->endings.erase(ending{record.ended_at, id});
+    this->endings.erase(&record);
     this->attempts.erase(record.attempt);
     for (const attempt_id former : record.former) {
         this->attempts.erase(former);
     }
-    const auto of_account = this->account_records.find(id.account);
+    const auto of_account = this->account_records.find(record.id.account);
     if (--of_account->second == 0) {
         this->account_records.erase(of_account);
     }
-    this->records.erase(id);
+    this->records.erase(this->records.find(claim_view{record.id.account, record.id.key}));
 }
 
 std::string claim_table::pack_snapshot() const
@@ -385,7 +388,7 @@
     taken.gone.assign(this->gone.begin(), this->gone.end());
     taken.records.reserve(this->records.size());
     for (const auto& [id, record] : this->records) {
-        taken.records.push_back(record);
+        taken.records.push_back(*record);
     }
     return pack(taken);
 }
@@ -415,28 +418,30 @@
     return absl::OkStatus();
 }
 
-bool claim_table::insert_restored(claim_record record)
+bool claim_table::insert_restored(claim_record taken)
 {
-    const claim_id id = record.id;
-    if (record.state > claim_state::unknown || this->records.contains(id)) {
+    std::unique_ptr<claim_record> added = std::make_unique<claim_record>(std::move(taken));
+    claim_record* const record = added.get();
+    const claim_view view{record->id.account, record->id.key};
+    if (record->state > claim_state::unknown || this->records.contains(view)) {
         return false;
     }
-    bool unique = this->attempts.emplace(record.attempt, id).second;
-    for (const attempt_id former : record.former) {
-        unique = this->attempts.emplace(former, id).second && unique;
+    bool unique = this->attempts.emplace(record->attempt, record).second;
+    for (const attempt_id former : record->former) {
+        unique = this->attempts.emplace(former, record).second && unique;
     }
-    ++this->account_records[id.account];
-    if (record.state == claim_state::running) {
-        this->running.insert(record.attempt);
+    ++this->account_records[record->id.account];
+    if (record->state == claim_state::running) {
+        this->running.insert(record->attempt);
     }
     else {
-        this->endings.insert(ending{record.ended_at, id});
+        this->endings.insert(record);
     }
-    if (record.state == claim_state::answered && record.body_kept) {
-        this->bodies.insert(ending{record.ended_at, id});
-        this->body_bytes += record.given.body.size();
+    if (record->state == claim_state::answered && record->body_kept) {
+        this->bodies.insert(record);
+        this->body_bytes += record->given.body.size();
     }
-    this->records.emplace(id, std::move(record));
+    this->records.emplace(view, std::move(added));
     return unique;
 }
 
