Bound the search of last resort in routing

Cause: when the random picks met no usable agent, every agent was scored. With 4,600 agents that slows the entry down just when all of them are full. Ruled out: refusing at once; a paused or ramping agent is better than a refusal. Change: the search starts at the next agent in turn and compares at most 16 usable ones.

--- a/src/librequest/router.cpp
+++ b/src/librequest/router.cpp
@@ -14,6 +14,9 @@
 /// Random picks for one choice. Enough to find two usable agents when a third of them is usable;
 /// after that the whole list is searched.
 constexpr std::uint32_t picks_bound = 12;
+/// Usable agents compared when the random picks met none. Comparing all of 4,600 in each choice
+/// would slow the entry down just when every agent is full.
+constexpr std::uint32_t last_resort_bound = 16;
 
 double in_ms(std::chrono::nanoseconds length)
 {
@@ -234,12 +237,15 @@
     // refusal; the order of the errors and of the load decides.
     agent_state* best = nullptr;
     double best_score = 0.0;
-    for (agent_state* const agent : this->all) {
-        const skip_reason reason = this->reason_to_skip(*agent, request, excluded);
-        if (reason != skip_reason::none ||
+    std::uint32_t compared = 0;
+    const std::size_t first = this->all.empty() ? 0 : this->next_in_turn++ % this->all.size();
+    for (std::size_t step = 0; step < this->all.size() && compared < last_resort_bound; ++step) {
+        agent_state* const agent = this->all[(first + step) % this->all.size()];
+        if (this->reason_to_skip(*agent, request, excluded) != skip_reason::none ||
             (this->still_suspended(*agent) && request.claim_incarnation.has_value())) {
             continue;
         }
+        ++compared;
         const double score = this->score_ms(*agent, request);
         if (best == nullptr || score < best_score) {
             best = agent;
