--- a/src/build-scripts/install_packages.sh
+++ b/src/build-scripts/install_packages.sh
@@ -6,7 +6,7 @@
     g++ cmake ninja-build ccache pkg-config clang-format clang-tidy
     libpistache-dev libcurl4-openssl-dev libmsgpack-cxx-dev libboost-dev libyaml-cpp-dev
     libpopt-dev libspdlog-dev libfmt-dev libabsl-dev catch2 libtrompeloeil-cpp-dev nlohmann-json3-dev
-    libxxhash-dev libssl-dev librapidcheck-dev libbenchmark-dev curl
+    libxxhash-dev libssl-dev librapidcheck-dev libbenchmark-dev curl bc procps
 )
 
 missing=()
--- a/src/include/redwingwheel/control_service.h
+++ b/src/include/redwingwheel/control_service.h
@@ -59,6 +59,7 @@
     void serve_agent_poll(const wire::incoming_request& request, const served& done);
     void serve_entry_poll(const wire::incoming_request& request, const served& done);
     void serve_claim(const wire::incoming_request& request, const served& done);
+    void serve_claim_look_up(const wire::incoming_request& request, const served& done);
     void serve_operator_call(const wire::incoming_request& request, const served& done);
     void serve_replication(const wire::incoming_request& request);
     [[nodiscard]] std::string formation_reply();
--- a/src/include/redwingwheel/messages.h
+++ b/src/include/redwingwheel/messages.h
@@ -28,6 +28,7 @@
     replication,
     formation,
     join,
+    look_up_claim,
 };
 
 /// A worker as its agent announces it.
@@ -188,6 +189,14 @@
     MSGPACK_DEFINE(at, answer)
 };
 
+/// Entry to control: where the claim of a key stands, without taking it.
+struct look_up_claim {
+    std::string account;
+    std::string key;
+    std::uint64_t payload_digest = 0;
+    MSGPACK_DEFINE(account, key, payload_digest)
+};
+
 /// What became of a claim command; see request::claim_result.
 struct claim_reply {
     request::claim_verdict verdict = request::claim_verdict::stale;
--- a/src/include/redwingwheel/packing.h
+++ b/src/include/redwingwheel/packing.h
@@ -40,7 +40,12 @@
 {
     try {
         std::size_t offset = 0;
-        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), offset);
+        // A length in the message cannot exceed the message; without this bound a damaged length
+        // makes the library allocate for it before it reads on.
+        const std::size_t most = bytes.size();
+        const msgpack::unpack_limit limit(most, most, most, most, most);
+        const msgpack::object_handle handle =
+            msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
         if (offset != bytes.size()) {
             return make_error(packing_errc::malformed, "bytes after the value");
         }
--- a/src/libcontrol/control_service.cpp
+++ b/src/libcontrol/control_service.cpp
@@ -206,6 +206,9 @@
     case messages::kind::claim:
         this->serve_claim(request, done);
         return;
+    case messages::kind::look_up_claim:
+        this->serve_claim_look_up(request, done);
+        return;
     case messages::kind::operator_call:
         this->serve_operator_call(request, done);
         return;
@@ -270,6 +273,17 @@
                   });
 }
 
+void control_service::serve_claim_look_up(const wire::incoming_request& request, const served& done)
+{
+    const std::optional<messages::look_up_claim> wanted = read<messages::look_up_claim>(request);
+    if (!wanted.has_value()) {
+        done(unreadable());
+        return;
+    }
+    done(pack(messages::to_message(
+        this->state.claims().look_up(wanted->account, wanted->key, wanted->payload_digest))));
+}
+
 void control_service::serve_operator_call(const wire::incoming_request& request, const served& done)
 {
     const std::optional<messages::operator_call> call = read<messages::operator_call>(request);
--- a/src/libcontrol/operator_json.cpp
+++ b/src/libcontrol/operator_json.cpp
@@ -193,6 +193,7 @@
             role = "leader";
         }
         list.push_back({{"address", each.who.address},
+                        {"identity", fmt::format("{:016x}", each.who.id.value)},
                         {"data_centre", each.who.data_centre},
                         {"role", role},
                         {"commit", leads ? log.commit.value : each.match.value}});
--- a/src/libentry/entry_service.cpp
+++ b/src/libentry/entry_service.cpp
@@ -205,17 +205,20 @@
 
 void entry_service::serve_request(http::server_request request, const http::responder& respond)
 {
+    // An earlier send of a key may have run, and its claim is not looked up here.
+    const std::string_view untouched =
+        request.header("idempotency-key").empty() ? "not_run" : "unknown";
     if (this->draining) {
-        respond(error_response(503, "not_run", "this entry is shutting down"));
+        respond(error_response(503, untouched, "this entry is shutting down"));
         return;
     }
     if (!this->in_force()) {
-        respond(error_response(503, "not_run", "this entry has no permit from control"));
+        respond(error_response(503, untouched, "this entry has no permit from control"));
         return;
     }
     const std::string account = this->find_account(token_digest_of(request));
     if (account.empty()) {
-        respond(error_response(401, "not_run", "unknown token"));
+        respond(error_response(401, untouched, "unknown token"));
         return;
     }
     const std::string service_name = request.path.substr(request_path.size());
@@ -224,7 +227,7 @@
         wanted != nullptr && std::find(wanted->accounts.begin(), wanted->accounts.end(), account) !=
                                  wanted->accounts.end();
     if (!allowed) {
-        respond(error_response(404, "not_run", "no such service for this account"));
+        respond(error_response(404, untouched, "no such service for this account"));
         return;
     }
     caller_request asked;
--- a/src/libentry/request_flow.cpp
+++ b/src/libentry/request_flow.cpp
@@ -96,11 +96,43 @@
 
 void request_flow::on_no_agent()
 {
-    if (this->has_claim) {
-        // The former attempt is recorded as not run, and nothing else was sent.
-        this->has_claim = false;
+    constexpr std::string_view reason = "no worker can take the request";
+    // A claim that this flow holds has only attempts that are recorded as not run.
+    if (this->claimed() && !this->has_claim) {
+        this->look_up_claim(reason);
+        return;
     }
-    this->refuse(status_unavailable, "not_run", "no worker can take the request");
+    this->refuse(status_unavailable, "not_run", reason);
+}
+
+void request_flow::look_up_claim(std::string_view reason)
+{
+    const messages::look_up_claim wanted{this->asked.account, this->asked.key,
+                                         this->payload_digest()};
+    const std::shared_ptr<request_flow> self = this->shared_from_this();
+    const steady_time patience =
+        std::min(this->asked.deadline, std::chrono::steady_clock::now() + claim_patience);
+    this->owner.control.call(
+        messages::kind::look_up_claim, pack(wanted), patience,
+        [self, text = std::string(reason)](const absl::StatusOr<std::string>& body) {
+            const absl::StatusOr<messages::claim_reply> result = read_claim(body);
+            if (!result.ok()) {
+                self->refuse_without_claim();
+            }
+            else if (result->verdict == request::claim_verdict::granted) {
+                self->refuse(status_unavailable, "not_run", text);
+            }
+            else {
+                self->on_known_claim(*result);
+            }
+        });
+}
+
+void request_flow::refuse_without_claim()
+{
+    this->refuse(status_unavailable, "unknown",
+                 "control does not answer, and an earlier send of the key may have run; send the "
+                 "request again with the same key");
 }
 
 void request_flow::log_decision(const request::decision& made) const
@@ -119,6 +151,11 @@
                  made.chosen.has_value() ? made.chosen->data_centre : "none", candidates);
 }
 
+std::uint64_t request_flow::payload_digest() const
+{
+    return digest::content_hash(fmt::format("{}\n{}", this->asked.service.name, this->asked.body));
+}
+
 void request_flow::begin_claim()
 {
     request::begin_claim begin;
@@ -155,16 +192,21 @@
     using verdict = request::claim_verdict;
     const absl::StatusOr<messages::claim_reply> reply_message = read_claim(body);
     if (!reply_message.ok()) {
-        // Nothing is sent without a claim, so nothing ran.
-        this->refuse(status_unavailable, "not_run", "the claim could not be recorded in time");
+        this->refuse_without_claim();
         return;
     }
-    const messages::claim_reply& result = *reply_message;
-    switch (result.verdict) {
-    case verdict::granted:
+    if (reply_message->verdict == verdict::granted) {
         this->has_claim = true;
         this->send();
         return;
+    }
+    this->on_known_claim(*reply_message);
+}
+
+void request_flow::on_known_claim(const messages::claim_reply& result)
+{
+    using verdict = request::claim_verdict;
+    switch (result.verdict) {
     case verdict::in_progress:
         this->follow(result.attempt, result.worker, result.incarnation);
         return;
--- a/src/libentry/request_flow.h
+++ b/src/libentry/request_flow.h
@@ -41,7 +41,13 @@
     void next_attempt();
     void on_no_agent();
     void log_decision(const request::decision& made) const;
+    [[nodiscard]] std::uint64_t payload_digest() const;
     void begin_claim();
+    /// Tells whether "not run" is true although this entry has sent nothing: an earlier send of the
+    /// key may have run.
+    void look_up_claim(std::string_view reason);
+    void refuse_without_claim();
+    void on_known_claim(const messages::claim_reply& result);
     void on_claim(const absl::StatusOr<std::string>& body);
     void reassign_claim(std::uint64_t former);
     void send();
--- a/src/libutil/packing_test.cpp
+++ b/src/libutil/packing_test.cpp
@@ -27,3 +27,12 @@
     }
     REQUIRE_FALSE(redwingwheel::unpack<sample>(bytes + "x").ok());
 }
+
+// Guards against a damaged length that makes the reader allocate gigabytes.
+TEST_CASE("a length beyond the message is refused", "[packing]")
+{
+    const std::string huge_array{"\xDD\x7F\xFF\xFF\xFF", 5};
+    REQUIRE_FALSE(redwingwheel::unpack<std::vector<std::uint64_t>>(huge_array).ok());
+    const std::string huge_text{"\xDB\x7F\xFF\xFF\xFF", 5};
+    REQUIRE_FALSE(redwingwheel::unpack<std::string>(huge_text).ok());
+}
