Repeat a failed election sooner

Cause: after a split vote both candidates waited for another full timeout of 1 to 2 s, so that an election could outlast the 3 s life of a permit.

Ruled out: a shorter election timeout, which a slow link would trip.

Change: a candidate repeats after 250 to 750 ms, as a pre-vote did already.

--- a/src/libreplication/replica_core.h
+++ b/src/libreplication/replica_core.h
@@ -96,6 +96,7 @@
     // replica_election.cpp
     [[nodiscard]] milliseconds random_timeout(milliseconds least, milliseconds spread);
     void reset_election_deadline();
+    void reset_retry_deadline();
     void begin_pre_vote();
     void begin_election();
     void request_votes(message_kind kind, term_number term);
--- a/src/libreplication/replica_election.cpp
+++ b/src/libreplication/replica_election.cpp
@@ -14,6 +14,14 @@
                                                                  this->options.election_timeout);
 }
 
+/// A failed attempt is repeated sooner than a first one is made: that a leader is missing is known
+/// by then, and answers take milliseconds.
+void replica::core::reset_retry_deadline()
+{
+    const milliseconds quarter = this->options.election_timeout / 4;
+    this->election_deadline = this->now() + this->random_timeout(quarter, 2 * quarter);
+}
+
 std::optional<replica_id> replica::core::known_leader() const
 {
     if (this->role == replica_role::leader) {
@@ -83,9 +91,7 @@
     }
     this->role = replica_role::pre_candidate;
     this->leader.reset();
-    // A pre-vote disturbs nobody, so it is repeated sooner than an election.
-    const milliseconds quarter = this->options.election_timeout / 4;
-    this->election_deadline = this->now() + this->random_timeout(quarter, 2 * quarter);
+    this->reset_retry_deadline();
     this->request_votes(message_kind::pre_vote_request, this->vote.term + 1);
 }
 
@@ -93,7 +99,7 @@
 {
     this->role = replica_role::candidate;
     this->leader.reset();
-    this->reset_election_deadline();
+    this->reset_retry_deadline();
     if (this->save_vote({this->vote.term + 1, this->identity})) {
         this->request_votes(message_kind::vote_request, this->vote.term);
     }
--- a/src/libreplication/testing/test_cluster.h
+++ b/src/libreplication/testing/test_cluster.h
@@ -73,6 +73,7 @@
     {
         return this->links[from][to];
     }
+    [[nodiscard]] replica& node(std::size_t host) { return *this->hosts[host].node; }
     [[nodiscard]] fake_disk& disk(std::size_t host) { return this->hosts[host].disk; }
 
     enum class after_stop { keep_cache, lose_unsynced, tear_unsynced, wipe_disk };
