--- a/src/libreplication/replica_core.h
+++ b/src/libreplication/replica_core.h
@@ -96,6 +96,7 @@
     // replica_election.cpp
     [[nodiscard]] milliseconds random_timeout(milliseconds least, milliseconds spread);
     void reset_election_deadline();
+    void reset_retry_deadline();
     void begin_pre_vote();
     void begin_election();
     void request_votes(message_kind kind, term_number term);
@@ -177,7 +178,9 @@
     /// No vote is given before: a leader may rely on this replica's answer until then.
     steady_time votes_barred_until;
     std::set<replica_id> votes;
+    /// The chunks received so far, and the term of the leader that sent them.
     snapshot_part incoming;
+    term_number incoming_term;
 
     // Leader only.
     log_index first_of_own_term;
