--- a/src/libplacement/claims.cpp
+++ b/src/libplacement/claims.cpp
@@ -295,46 +295,18 @@
     if (!plan.has_value()) {
         return false;
     }
-    this->set_reservation(slot, std::move(*plan));
-    return true;
-}
-
-void engine::implementation::set_reservation(job_slot slot, reservation_plan plan)
-{
-    this->set_claim(slot, claim_kind::reservation, std::move(plan.parts));
+    this->set_claim(slot, claim_kind::reservation, std::move(plan->parts));
     job_record& reserver = this->jobs[slot];
     const steady_time now = this->clock();
-    reserver.claim_ready = plan.ready;
-    reserver.claim_review = std::max(plan.ready, now) + reservation_overrun;
+    reserver.claim_ready = plan->ready;
+    reserver.claim_review = std::max(plan->ready, now) + reservation_overrun;
     reserver.record = {reserver.spec.id,
                        "reserved",
                        {},
                        fmt::format("keeps room that is expected to be free in {} ms",
-                                   remaining_until(plan.ready, now).count()),
+                                   remaining_until(plan->ready, now).count()),
                        {}};
-}
-
-/// Plans an overdue reservation anew. What it has gathered is not given up in between, or small
-/// jobs would take it and a large job would never get its room together.
-void engine::implementation::renew_reservation(job_slot slot)
-{
-    std::optional<reservation_plan> plan = reservation_planner(*this, this->jobs[slot]).plan();
-    std::set<job_slot> fillers;
-    for (const host_part& part : this->jobs[slot].claimed) {
-        for (const job_slot holder : this->tree.host(part.host).holder) {
-            if (holder != no_job && this->jobs[holder].backfill_of == slot) {
-                fillers.insert(holder);
-            }
-        }
-    }
-    this->drop_claim(slot);
-    if (!plan.has_value()) {
-        return;
-    }
-    this->set_reservation(slot, std::move(*plan));
-    for (const job_slot filler : fillers) {
-        this->jobs[filler].backfill_of = slot;
-    }
+    return true;
 }
 
 void engine::implementation::evacuate(std::vector<decision>& out)
--- a/src/libplacement/decide.cpp
+++ b/src/libplacement/decide.cpp
@@ -156,7 +156,7 @@
                 }
             }
             else if (now > this->jobs[slot].claim_review) {
-                this->renew_reservation(slot);
+                this->drop_claim(slot);
             }
         }
     }
--- a/src/libplacement/engine_state.h
+++ b/src/libplacement/engine_state.h
@@ -36,11 +36,6 @@
     }
 };
 
-struct reservation_plan {
-    steady_time ready; ///< When the last accelerator is expected to be free.
-    gang_parts parts;
-};
-
 struct job_record {
     job_spec spec;
     job_state state = job_state::queued;
@@ -132,8 +127,6 @@
     bool overrule_reservations(job_slot slot, std::vector<decision>& out);
     bool backfill(job_slot slot, std::vector<decision>& out);
     bool reserve(job_slot slot);
-    void set_reservation(job_slot slot, reservation_plan plan);
-    void renew_reservation(job_slot slot);
     bool wants_reservation(const job_record& job) const;
     std::uint64_t reserved_accelerators() const;
     std::uint64_t reservation_bound() const;
--- a/src/libplacement/reservation.cpp
+++ b/src/libplacement/reservation.cpp
@@ -24,25 +24,7 @@
         std::binary_search(this->job.failed_on.begin(), this->job.failed_on.end(), index)) {
         return 0;
     }
-    // What the job has reserved already stays open to it.
-    accelerator_mask claimed = host.claimed;
-    for (const host_part& part : this->job.claimed) {
-        claimed &= part.host == index ? ~part.accelerators : ~accelerator_mask{0};
-    }
-    return host.all & ~claimed & ~this->state.kept_from(this->job.spec, index);
-}
-
-/// Work that fills the job's own reservation can be stopped when the rest is free.
-steady_time reservation_planner::free_at(job_slot holder) const
-{
-    if (holder == no_job) {
-        return this->now;
-    }
-    const job_record& other = this->state.jobs[holder];
-    if (other.backfill_of == this->job.key.slot && other.spec.can_checkpoint) {
-        return this->now + this->state.options.checkpoint_grace;
-    }
-    return this->state.expected_end(holder, this->now);
+    return host.all & ~host.claimed & ~this->state.kept_from(this->job.spec, index);
 }
 
 /// Member slots of a host, earliest first; for a group, only the one group that is free first.
@@ -60,7 +42,8 @@
         std::vector<std::pair<steady_time, std::uint32_t>> free_times;
         for_each_accelerator(part, [&](std::uint32_t n) {
             const job_slot holder = host.holder[n];
-            free_times.emplace_back(this->free_at(holder), n);
+            free_times.emplace_back(
+                holder == no_job ? this->now : this->state.expected_end(holder, this->now), n);
         });
         std::sort(free_times.begin(), free_times.end());
         std::vector<timed_slot> found;
--- a/src/libplacement/reservation.h
+++ b/src/libplacement/reservation.h
@@ -9,6 +9,11 @@
 /// Plans reservations for large jobs.
 namespace redwingwheel::placement {
 
+struct reservation_plan {
+    steady_time ready; ///< When the last accelerator is expected to be free.
+    gang_parts parts;
+};
+
 /// Finds the place where a job can run first, as far as forecasts tell.
 class reservation_planner {
 public:
@@ -26,7 +31,6 @@
     };
 
     accelerator_mask usable(host_index index) const;
-    steady_time free_at(job_slot holder) const;
     void add_slots(host_index index, std::vector<timed_slot>& slots) const;
     void consider(std::span<const host_index> hosts, std::optional<reservation_plan>& best) const;
 
