Placement: one reservation at a time in a small region

With four reservations a third of the region waited for work to end. One is kept, and one more for every three further data centres.

--- a/src/include/redwingwheel/placement_types.h
+++ b/src/include/redwingwheel/placement_types.h
@@ -182,11 +182,13 @@
 
 /// Limits and rules. The defaults are those of the design.
 struct engine_options {
-    milliseconds checkpoint_grace{1000};        ///< Reclaim: from request to stop.
-    milliseconds normal_reclaim_wait{2000};     ///< A normal job of an owner reclaims after this.
-    milliseconds ramp_time{10000};              ///< Return of a data centre.
-    std::uint32_t ramp_start_percent = 10;      ///< Share of a returned data centre at first.
-    std::uint32_t max_reservations = 4;         ///< For large jobs, at one time.
+    milliseconds checkpoint_grace{1000};    ///< Reclaim: from request to stop.
+    milliseconds normal_reclaim_wait{2000}; ///< A normal job of an owner reclaims after this.
+    milliseconds ramp_time{10000};          ///< Return of a data centre.
+    std::uint32_t ramp_start_percent = 10;  ///< Share of a returned data centre at first.
+    /// For large jobs at one time, and one more for every three data centres beyond the first
+    /// three. With several, small regions keep too much room waiting.
+    std::uint32_t max_reservations = 1;
     std::uint32_t reservation_percent = 50;     ///< Most of the inventory under reservation.
     milliseconds reservation_wait{2000};        ///< A large job waits this long before it reserves.
     std::uint32_t quarantine_percent = 10;      ///< Of a data centre's workers, at least one.
--- a/src/libplacement/claims.cpp
+++ b/src/libplacement/claims.cpp
@@ -251,10 +251,17 @@
             reserved += total_of(other.claimed);
         }
     }
-    return reservations == 0 || (reservations < this->options.max_reservations &&
+    return reservations == 0 || (reservations < this->reservation_limit() &&
                                  reserved + total <= this->reservation_bound());
 }
 
+std::uint32_t engine::implementation::reservation_limit() const
+{
+    constexpr std::uint32_t data_centres_per_reservation = 3;
+    return this->options.max_reservations +
+           (std::max(1U, this->tree.data_centre_count()) - 1) / data_centres_per_reservation;
+}
+
 std::uint64_t engine::implementation::reservation_bound() const
 {
     return this->tree.accelerator_count() * this->options.reservation_percent / 100;
@@ -273,7 +280,7 @@
             }
         }
     }
-    while (!lower.empty() && (reservations >= this->options.max_reservations ||
+    while (!lower.empty() && (reservations >= this->reservation_limit() ||
                               this->reserved_accelerators() + total > this->reservation_bound())) {
         this->drop_claim(lower.back());
         lower.pop_back();
--- a/src/libplacement/engine_state.h
+++ b/src/libplacement/engine_state.h
@@ -129,6 +129,7 @@
     bool reserve(job_slot slot);
     bool wants_reservation(const job_record& job) const;
     std::uint64_t reserved_accelerators() const;
+    std::uint32_t reservation_limit() const;
     std::uint64_t reservation_bound() const;
     void make_way(const job_record& job, std::uint64_t total);
     void evacuate(std::vector<decision>& out);
