--- a/src/libplacement/engine_state.h
+++ b/src/libplacement/engine_state.h
@@ -73,7 +73,7 @@
     {
     }
 
-    // engine.cpp: the life of jobs and workers.
+    // engine.cpp and jobs.cpp: the life of jobs and workers.
     absl::Status validate(const job_spec& job) const;
     std::string why_never_fits(const job_spec& job) const;
     job_slot find(std::string_view job) const;
--- a/src/redwingwheel-replay/bench.cpp
+++ b/src/redwingwheel-replay/bench.cpp
@@ -235,7 +235,7 @@
     for (int n = 0; n < 10000; ++n) {
         static_cast<void>(engine.submit(job_of(++number, accounts)));
     }
-    while (engine.decide().size() > 0) {
+    while (!engine.decide().empty()) {
         time.advance(milliseconds(10));
     }
     start = clock::now();
