Placement: no guaranteed cell goes missing because of work in the way

Cause: cells are assigned clear of work that must not be stopped, and that could break the only place of a large cell: the guarantee was reported short although the inventory held it. Ruled out: stopping such work, which must not run twice. Conclusion: a guarantee is short only where inventory is.

--- a/src/libplacement/cells.cpp
+++ b/src/libplacement/cells.cpp
@@ -133,10 +133,28 @@
     std::uint32_t lacking = this->fill(by_age, true, occupied, result);
     // A greedy order can miss a solution that exists, because a small cell may break a large one.
     for (const bool home_first : {true, false}) {
-        if (lacking == 0) {
-            break;
+        if (lacking != 0) {
+            lacking = this->fill(this->order_by_size(home_first), false, occupied, result);
         }
-        lacking = this->fill(this->order_by_size(home_first), false, occupied, result);
+    }
+    // Keeping clear of work that must not be stopped can break a large cell too. A cell that waits
+    // for such work is better than one that is missing.
+    const occupancy_function nothing_runs = [](host_index, accelerator_mask, std::string_view) {
+        return occupancy{};
+    };
+    std::vector<guarantee_state> wishes;
+    if (lacking != 0) {
+        wishes = this->states;
+        for (guarantee_state& state : this->states) {
+            state.cells.clear();
+        }
+        lacking = this->fill(by_age, false, nothing_runs, result);
+        for (const bool home_first : {true, false}) {
+            if (lacking != 0) {
+                lacking = this->fill(this->order_by_size(home_first), false, nothing_runs, result);
+            }
+        }
+        this->states = std::move(wishes);
     }
     if (lacking != 0) {
         this->fill(by_age, false, occupied, result);
--- a/src/libplacement/property_world.h
+++ b/src/libplacement/property_world.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -61,6 +62,7 @@
     void check_shape(const known_job& job, const gang_placement& placement);
     void check_loans(const known_job& job, const gang_placement& placement);
     void check_state();
+    void check_missing(std::span<const guarantee_summary> live);
     bool covers(const cell_assignment& cell, const member_placement& member) const;
 
     std::mt19937_64 random;
