--- a/src/libplacement/engine_state.h
+++ b/src/libplacement/engine_state.h
@@ -73,7 +73,7 @@
     {
     }
 
-    // engine.cpp: the life of jobs and workers.
+    // engine.cpp and jobs.cpp: the life of jobs and workers.
     absl::Status validate(const job_spec& job) const;
     std::string why_never_fits(const job_spec& job) const;
     job_slot find(std::string_view job) const;
@@ -129,6 +129,7 @@
     bool reserve(job_slot slot);
     bool wants_reservation(const job_record& job) const;
     std::uint64_t reserved_accelerators() const;
+    std::uint32_t reservation_limit() const;
     std::uint64_t reservation_bound() const;
     void make_way(const job_record& job, std::uint64_t total);
     void evacuate(std::vector<decision>& out);
