Send what is ending with a catch-up

Cause: a process that follows kept each withdrawn service and account for all time, because only the leader is told when one has no work left; a process that started later did not have them at all. Ruled out: a log command for followers, because they hold no log. Change: a catch-up carries the leader's ending things, which replace the receiver's. Conclusion: the state of followers is bounded by the leader's.

--- a/src/include/redwingwheel/configuration.h
+++ b/src/include/redwingwheel/configuration.h
@@ -88,7 +88,8 @@
     std::uint64_t digest = 0;   ///< `configuration::contents_digest` at `revision`.
     std::vector<release_note> notes;
     std::string contents; ///< All things instead of notes; empty when notes are given.
-    MSGPACK_DEFINE(after, revision, digest, notes, contents)
+    std::string ending;   ///< Things that are ending at the sender; the receiver drops all others.
+    MSGPACK_DEFINE(after, revision, digest, notes, contents, ending)
 };
 
 /// Withdrawn things that may still be in use.
--- a/src/libconfig/configuration.cpp
+++ b/src/libconfig/configuration.cpp
@@ -55,20 +55,6 @@
     return digest::content_hash(pack(digest_input{core.revision, core.things}));
 }
 
-/// A withdrawn thing that the receiver still has and the sender no longer lists is ending here.
-template <class Thing>
-void keep_as_ending(core_state& next, const std::vector<held_thing<Thing>>& known)
-{
-    std::vector<held_thing<Thing>>& ending = member_of<Thing>(next.ending);
-    for (const held_thing<Thing>& held : known) {
-        const std::string& key = key_of(held.thing);
-        if (find_held(member_of<Thing>(next.things), key) == nullptr &&
-            find_held(ending, key) == nullptr) {
-            ending.insert(position_of(ending, key), held);
-        }
-    }
-}
-
 } // namespace
 
 struct configuration::state {
@@ -320,6 +306,7 @@
     if (after >= sent.revision) {
         return sent;
     }
+    sent.ending = pack(this->held->core.ending);
     if (after < this->held->oldest_base() || sent.revision - after > this->options.catch_up_notes) {
         sent.contents = pack(this->held->core.things);
         return sent;
@@ -346,8 +333,6 @@
         }
         next.things = *std::move(things);
         next.revision = received.revision;
-        keep_as_ending(next, this->held->core.things.services);
-        keep_as_ending(next, this->held->core.things.client_accounts);
     }
     else {
         if (received.after > next.revision ||
@@ -363,7 +348,13 @@
             steps.push_back(history_entry{next.revision, note, {}, std::move(differences)});
         }
     }
-    if (!is_well_formed(next.things) || digest_of(next) != received.digest) {
+    absl::StatusOr<contents> ending = bounded_unpack<contents>(received.ending);
+    if (!ending.ok()) {
+        return translate_error(config_errc::bad_snapshot, ending.status());
+    }
+    next.ending = *std::move(ending);
+    if (!is_well_formed(next.things) || !is_well_formed(next.ending) ||
+        digest_of(next) != received.digest) {
         return make_error(config_errc::bad_snapshot,
                           fmt::format("revision {} differs from the sender's", received.revision));
     }
--- a/src/libconfig/configuration_test.cpp
+++ b/src/libconfig/configuration_test.cpp
@@ -167,6 +167,26 @@
     REQUIRE(held.apply(note("w3", 2, add)).outcome == apply_outcome::accepted);
 }
 
+// Guards against processes that follow and keep every withdrawn thing for all time.
+TEST_CASE("followers keep what is ending at the leader and nothing else", "[configuration]")
+{
+    config::configuration leader = sample();
+    config::configuration follower;
+    REQUIRE(follower.advance(leader.catch_up_after(0)).ok());
+    leader.apply(note("w2", 1, "withdrawn: {services: [s1]}"));
+    REQUIRE(follower.advance(leader.catch_up_after(1)).ok());
+    REQUIRE(follower.ending().services.size() == 1);
+    config::configuration fresh;
+    REQUIRE(fresh.advance(leader.catch_up_after(0)).ok());
+    REQUIRE(fresh.ending().services.size() == 1);
+
+    REQUIRE(leader.mark_unused(config::thing_kind::services, "s1"));
+    leader.apply(set_weight("w3", 2, "acme", 2));
+    REQUIRE(follower.advance(leader.catch_up_after(2)).ok());
+    REQUIRE(follower.ending().services.empty());
+    REQUIRE(follower.revision() == 3);
+}
+
 // Guards against a note whose guarantees do not fit being accepted in part.
 TEST_CASE("the admission hook sees the proposed state and can refuse it", "[configuration]")
 {
