Mutate the ending things of a catch-up

Cause: they are read from bytes like the contents, but no test damaged them. Change: the third mutation case damages them as well. Conclusion: a damaged catch-up crashes nothing.

--- a/src/libconfig/mutation_test.cpp
+++ b/src/libconfig/mutation_test.cpp
@@ -285,8 +285,12 @@
 TEST_CASE("damaged snapshots and catch-ups are harmless", "[mutation]")
 {
     WARN("seed " << seed);
-    const std::string bytes = base_configuration().snapshot();
-    const config::catch_up sent = base_configuration().catch_up_after(0);
+    config::configuration leader = base_configuration();
+    leader.apply(
+        *config::parse_release_note_yaml("note: n1\nbase: 1\nwithdrawn: {services: [s1]}", "f"));
+    REQUIRE(leader.ending().services.size() == 1);
+    const std::string bytes = leader.snapshot();
+    const config::catch_up sent = leader.catch_up_after(0);
     config::configuration follower;
     const std::string empty = follower.snapshot();
     mutator changes(seed);
@@ -303,6 +307,15 @@
         damaged.contents = changes.mutate(bytes);
         REQUIRE_FALSE(follower.advance(damaged).ok());
         REQUIRE(follower.snapshot() == empty);
+        damaged = sent;
+        damaged.ending = changes.mutate(sent.ending);
+        config::configuration fresh;
+        if (fresh.advance(damaged).ok()) {
+            static_cast<void>(fresh.contents_json());
+        }
+        else {
+            REQUIRE(fresh.snapshot() == empty);
+        }
     }
     REQUIRE(follower.advance(sent).ok());
 }
