--- a/testsuite/common.sh
+++ b/testsuite/common.sh
@@ -33,6 +33,15 @@
     fi
 }
 
+# all_serving: every worker is known and every entry is healthy, as the balancer sees it.
+all_serving() {
+    local index
+    for index in "${!control_names[@]}"; do
+        curl -sf -m 1 "http://127.0.0.1:$((base_port + 20 + index))/health" || return 1
+    done
+    all_workers_known
+}
+
 # suite_end: prints the logs' warnings when a check failed; returns the verdict.
 suite_end() {
     if [ "$failures" -gt 0 ]; then
--- a/testsuite/control_failures/run.sh
+++ b/testsuite/control_failures/run.sh
@@ -45,7 +45,7 @@
 check "every recount is answered after the leader was killed" answered "$suite_out/second"
 check "no recount ran twice" at_most_once
 start_daemon "$leader"
-wait_until 20 all_workers_known
+wait_until 20 all_serving
 
 before=$(revision)
 for name in "${control_names[@]}"; do
@@ -55,7 +55,7 @@
 for name in "${control_names[@]}"; do
     start_daemon "$name"
 done
-wait_until 30 all_workers_known
+wait_until 30 all_serving
 send_recounts "$suite_out/third"
 check "the configuration is the same after all replicas were killed" [ "$(revision)" = "$before" ]
 check "recorded answers are the same" same_answers "$suite_out/second" "$suite_out/third"
