Drain workers, follow the terms of agreements, free withdrawn names

Cause: four gaps seen when the parts came together. Placement could choose a worker whose backend server shuts down, and the gang was refused again and again. The term of an agreement was stored and not followed. The name of a withdrawn service was never free again. A gang that ended with a final job state was cancelled in the engine, which keeps its accelerators until a stop that never came. Ruled out: counting a draining worker as lost, because that breaks the gangs that run there.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,14 @@
 run: build
 	@examples/run.sh $(BUILD)/bin $(EXAMPLE)
 
+# Fresh seeds for a bounded time; prints how to repeat a failure.
+faults: build
+	@$(BUILD)/bin/redwingwheel-faults --seconds $(SECONDS) \
+	    --seed $(if $(filter 0,$(SEED)),$(shell date +%s),$(SEED))
+
+bench: build
+	@src/build-scripts/bench.sh $(BUILD)/bin $(BUILD)/bench
+
 format:
 	@find src -name '*.h' -o -name '*.cpp' | xargs clang-format -i
 
--- a/src/include/redwingwheel/control_state.h
+++ b/src/include/redwingwheel/control_state.h
@@ -150,8 +150,16 @@
     MSGPACK_DEFINE(source, incarnation, batch, usage)
 };
 
-using command = std::variant<apply_note, set_data_centre, announce_worker, submit_job, cancel_job,
-                             end_job, place_job, gang_step_command, claim_step, record_usage>;
+/// Says that a withdrawn service or account has no work left, so that its name is free again.
+struct forget_withdrawn {
+    config::thing_kind kind = config::thing_kind::services;
+    std::string key;
+    MSGPACK_DEFINE(kind, key)
+};
+
+using command =
+    std::variant<apply_note, set_data_centre, announce_worker, submit_job, cancel_job, end_job,
+                 place_job, gang_step_command, claim_step, record_usage, forget_withdrawn>;
 
 [[nodiscard]] std::string pack_command(const command& of);
 /// Errors: control_errc::malformed_command.
@@ -224,6 +232,7 @@
     [[nodiscard]] command_result apply_one(const gang_step_command& of, std::uint64_t index);
     [[nodiscard]] command_result apply_one(const claim_step& of, std::uint64_t index);
     [[nodiscard]] command_result apply_one(const record_usage& of, std::uint64_t index);
+    [[nodiscard]] command_result apply_one(const forget_withdrawn& of, std::uint64_t index);
 
     void end_gang(const membership::gang_ended& step, std::int64_t now_ms);
     void finish_job(job_record& job, job_step step, std::string_view reason, std::int64_t now_ms);
--- a/src/include/redwingwheel/controller.h
+++ b/src/include/redwingwheel/controller.h
@@ -100,10 +100,14 @@
     void on_applied(const gang_step_command& of, const command_result& result, std::uint64_t index);
     void on_applied(const claim_step&, const command_result&, std::uint64_t) {}
     void on_applied(const record_usage&, const command_result&, std::uint64_t) {}
+    void on_applied(const forget_withdrawn&, const command_result&, std::uint64_t) {}
 
     void note_data_centres();
     void add_worker(const messages::worker_announcement& worker);
     void update_guarantees();
+    /// Follows the terms of agreements and frees the names of withdrawn things without work.
+    void review_configuration();
+    [[nodiscard]] bool has_open_job(std::string_view account, std::string_view service) const;
     void restore_jobs();
     void lose_workers();
     void end_claims_of_replaced();
@@ -156,11 +160,14 @@
         steady_time deadline;
     };
     std::vector<replaced_incarnation> replaced;
+    steady_time next_review;
+    std::chrono::sys_days guarantees_day;
 };
 
-/// The guarantees that the configuration's agreements give on the day of `now_ms`, oldest first.
+/// The guarantees of agreements, oldest first. With `now_ms` (Unix milliseconds) only those whose
+/// term holds on that day; a check of a release note takes all, whatever their term.
 [[nodiscard]] std::vector<placement::guarantee>
-guarantees_of(const config::configuration& configuration);
+guarantees_of(const config::configuration& configuration, std::optional<std::int64_t> now_ms);
 
 /// Refuses a configuration whose agreements the announced inventory cannot meet together.
 [[nodiscard]] std::vector<config::problem>
--- a/src/include/redwingwheel/placement.h
+++ b/src/include/redwingwheel/placement.h
@@ -52,6 +52,10 @@
     /// Errors: unknown_worker.
     [[nodiscard]] absl::Status remove_worker(std::string_view worker);
 
+    /// Nothing new is placed on a draining worker; what runs there goes on. Guaranteed cells are
+    /// rebuilt elsewhere where cells exist. Errors: unknown_worker.
+    [[nodiscard]] absl::Status set_worker_draining(std::string_view worker, bool draining);
+
     /// Nothing is placed in a withdrawn data centre; its running gangs go on. A return ramps up
     /// (engine_options::ramp_time). Errors: unknown_data_centre (no worker announced in it).
     [[nodiscard]] absl::Status set_data_centre_state(std::string_view data_centre,
--- a/src/libcontrol/control_state.cpp
+++ b/src/libcontrol/control_state.cpp
@@ -99,6 +99,16 @@
     }
 }
 
+template <class Type>
+absl::StatusOr<command> unpack_as(std::string_view bytes)
+{
+    absl::StatusOr<Type> value = unpack<Type>(bytes);
+    if (!value.ok()) {
+        return translate_error(control_errc::malformed_command, value.status());
+    }
+    return command(*std::move(value));
+}
+
 /// The plain types, for which unpack_alternative needs a MSGPACK_DEFINE on each alternative.
 using plain_command = std::variant<apply_note, set_data_centre, announce_worker, submit_job,
                                    cancel_job, end_job, place_job>;
@@ -169,11 +179,10 @@
         return unpack_claim_step(outer->bytes);
     }
     if (outer->type == type_of<record_usage>()) {
-        absl::StatusOr<record_usage> usage = unpack<record_usage>(outer->bytes);
-        if (!usage.ok()) {
-            return translate_error(control_errc::malformed_command, usage.status());
-        }
-        return command(*std::move(usage));
+        return unpack_as<record_usage>(outer->bytes);
+    }
+    if (outer->type == type_of<forget_withdrawn>()) {
+        return unpack_as<forget_withdrawn>(outer->bytes);
     }
     absl::StatusOr<plain_command> plain =
         unpack_alternative<plain_command>(outer->type, outer->bytes);
@@ -426,6 +435,12 @@
     return {};
 }
 
+command_result control_state::apply_one(const forget_withdrawn& of, std::uint64_t)
+{
+    return this->config->mark_unused(of.kind, of.key) ? command_result()
+                                                      : refused("nothing of this name is ending");
+}
+
 std::uint64_t control_state::recorded_usage_batch(std::string_view source,
                                                   std::uint64_t incarnation) const
 {
--- a/src/libcontrol/controller.cpp
+++ b/src/libcontrol/controller.cpp
@@ -49,6 +49,12 @@
     return placed;
 }
 
+std::chrono::sys_days day_of(std::int64_t unix_ms)
+{
+    const std::chrono::sys_time<milliseconds> time{milliseconds(unix_ms)};
+    return std::chrono::floor<std::chrono::days>(time);
+}
+
 void log_decision(const placement::decision_record& record)
 {
     std::string refused;
@@ -64,10 +70,19 @@
 
 } // namespace
 
-std::vector<placement::guarantee> guarantees_of(const config::configuration& configuration)
+std::vector<placement::guarantee> guarantees_of(const config::configuration& configuration,
+                                                std::optional<std::int64_t> now_ms)
 {
+    std::vector<config::agreement> agreements = configuration.agreements();
+    std::stable_sort(agreements.begin(), agreements.end(),
+                     [](const config::agreement& left, const config::agreement& right) {
+                         return left.starts < right.starts;
+                     });
     std::vector<placement::guarantee> guarantees;
-    for (const config::agreement& each : configuration.agreements()) {
+    for (const config::agreement& each : agreements) {
+        if (now_ms.has_value() && !config::in_term(each, day_of(*now_ms))) {
+            continue;
+        }
         placement::guarantee wanted;
         wanted.agreement = each.id;
         wanted.account = each.account;
@@ -93,7 +108,7 @@
                          errors::message_of(added));
         }
     }
-    const std::vector<placement::guarantee> wanted = guarantees_of(proposed);
+    const std::vector<placement::guarantee> wanted = guarantees_of(proposed, std::nullopt);
     for (const placement::shortfall& each : trial.check_guarantees(wanted)) {
         problems.push_back(
             {"", fmt::format("agreements.{}.count", each.agreement), fmt::format("{}", each.wanted),
@@ -133,10 +148,11 @@
         this->workers.expect(name);
     }
     this->note_data_centres();
-    this->update_guarantees();
     const std::vector<membership::gang_record> gangs = this->state.gangs().records();
     this->coordinator.restore(leader_term, gangs);
+    // Placements first: the cells of guarantees are then chosen with what runs in view.
     this->restore_jobs();
+    this->update_guarantees();
     spdlog::info("event=leadership_begun term={} workers={} jobs={} gangs={}", leader_term,
                  this->state.workers().size(), this->state.jobs().size(), gangs.size());
 }
@@ -178,7 +194,9 @@
 
 void controller::update_guarantees()
 {
-    const std::vector<placement::guarantee> wanted = guarantees_of(this->state.configuration());
+    this->guarantees_day = day_of(this->hooks.wall_clock_ms());
+    const std::vector<placement::guarantee> wanted =
+        guarantees_of(this->state.configuration(), this->hooks.wall_clock_ms());
     const absl::Status set = this->engine->set_guarantees(wanted);
     if (!set.ok()) {
         spdlog::error("event=guarantees_refused error=\"{}\"", errors::message_of(set));
@@ -368,8 +386,12 @@
     this->early_stops.erase(std::string(job));
     const job_record* const record = this->state.find_job(job);
     const bool over = record == nullptr || is_final(record->step);
-    const absl::Status freed =
-        over ? this->engine->cancel(job) : this->engine->stopped(job, checkpointed);
+    if (over) {
+        // The engine then forgets the job once it has stopped, which it has.
+        const absl::Status ignored = this->engine->cancel(job);
+        static_cast<void>(ignored);
+    }
+    const absl::Status freed = this->engine->stopped(job, checkpointed);
     if (!freed.ok()) {
         spdlog::debug("event=cells_not_held job={} error=\"{}\"", job, errors::message_of(freed));
     }
@@ -498,6 +520,10 @@
         row.entry.incarnation != next.incarnation || row.entry.address != next.address ||
         row.entry.may_start != next.may_start || row.entry.shutting_down != next.shutting_down;
     next.load = from.load;
+    const absl::Status known = this->engine->set_worker_draining(from.worker, from.shutting_down);
+    if (!known.ok()) {
+        spdlog::debug("event=worker_not_placed_on worker={}", from.worker);
+    }
     row.entry = std::move(next);
     if (changed) {
         this->touch(row);
@@ -579,6 +605,7 @@
     }
     this->lose_workers();
     this->end_claims_of_replaced();
+    this->review_configuration();
     this->coordinator.tick();
     for (membership::gang_proposal& step : this->coordinator.take_proposals()) {
         this->propose(gang_step_command{std::move(step), this->hooks.wall_clock_ms()});
@@ -586,6 +613,47 @@
     this->place_jobs();
 }
 
+void controller::review_configuration()
+{
+    constexpr milliseconds review_period{1000};
+    const steady_time now = this->clock();
+    if (now < this->next_review || !this->knows_all_processes()) {
+        return;
+    }
+    this->next_review = now + review_period;
+    if (day_of(this->hooks.wall_clock_ms()) != this->guarantees_day) {
+        this->update_guarantees();
+    }
+    const std::uint64_t revision = this->state.configuration().revision();
+    for (const auto& [name, view] : this->process_views) {
+        if (view.revision < revision && !this->permit_surely_ended(view)) {
+            return;
+        }
+    }
+    const config::ending_things ending = this->state.configuration().ending();
+    for (const config::service& each : ending.services) {
+        if (!this->has_open_job("", each.name)) {
+            this->propose(forget_withdrawn{config::thing_kind::services, each.name});
+        }
+    }
+    for (const config::client_account& each : ending.client_accounts) {
+        if (!this->has_open_job(each.name, "")) {
+            this->propose(forget_withdrawn{config::thing_kind::client_accounts, each.name});
+        }
+    }
+}
+
+bool controller::has_open_job(std::string_view account, std::string_view service) const
+{
+    return std::any_of(this->state.jobs().begin(), this->state.jobs().end(),
+                       [account, service](const auto& entry) {
+                           const job_record& job = entry.second;
+                           return !is_final(job.step) &&
+                                  (account.empty() || job.job.account == account) &&
+                                  (service.empty() || job.job.service == service);
+                       });
+}
+
 void controller::lose_workers()
 {
     for (const std::string& worker : this->workers.take_lost()) {
@@ -611,6 +679,7 @@
 
 void controller::place_jobs()
 {
+    // A turn is bounded; the rest waits, so that polls are answered meanwhile.
     for (const placement::decision& each : this->engine->decide()) {
         log_decision(each.record);
         std::visit([this](const auto& what) { this->act(what); }, each.what);
--- a/src/libplacement/engine.cpp
+++ b/src/libplacement/engine.cpp
@@ -78,6 +78,20 @@
     return absl::OkStatus();
 }
 
+absl::Status engine::set_worker_draining(std::string_view worker, bool draining)
+{
+    implementation& state = *this->impl;
+    const host_index host = state.tree.find_host(worker);
+    if (host == no_index) {
+        return make_error(placement_errc::unknown_worker, fmt::format("worker \"{}\"", worker));
+    }
+    if (state.tree.host(host).draining != draining) {
+        state.tree.set_draining(host, draining);
+        state.cells_changed = true;
+    }
+    return absl::OkStatus();
+}
+
 absl::Status engine::set_data_centre_state(std::string_view data_centre, data_centre_state wanted)
 {
     implementation& state = *this->impl;
--- a/src/libplacement/topology.cpp
+++ b/src/libplacement/topology.cpp
@@ -118,6 +118,14 @@
     this->refresh(index);
 }
 
+void topology::set_draining(host_index index, bool draining)
+{
+    if (this->hosts[index].draining != draining) {
+        this->hosts[index].draining = draining;
+        this->refresh(index);
+    }
+}
+
 void topology::set_state(data_centre_index index, data_centre_state state)
 {
     this->data_centres[index].state = state;
@@ -189,7 +197,7 @@
 bool topology::is_available(host_index index) const
 {
     const host_state& asked = this->hosts[index];
-    return !asked.lost && !asked.quarantined &&
+    return !asked.lost && !asked.quarantined && !asked.draining &&
            this->data_centres[asked.data_centre].state == data_centre_state::in_service;
 }
 
--- a/src/libplacement/topology.h
+++ b/src/libplacement/topology.h
@@ -35,6 +35,7 @@
     rack_index rack = 0;
     bool lost = false;
     bool quarantined = false;
+    bool draining = false; ///< Takes nothing new; what runs goes on.
     accelerator_mask all = 0;
     accelerator_mask held = 0;     ///< A gang runs or stops there.
     accelerator_mask claimed = 0;  ///< Promised to one queued job.
@@ -104,6 +105,7 @@
     host_index add_host(const worker_spec& worker);
     void set_lost(host_index index, bool lost);
     void set_quarantined(host_index index, bool quarantined);
+    void set_draining(host_index index, bool draining);
     void set_state(data_centre_index index, data_centre_state state);
     void set_ramp(data_centre_index index, steady_time start, steady_time end);
 
@@ -137,7 +139,7 @@
     /// Accelerators of the largest worker.
     [[nodiscard]] std::uint32_t largest_host() const { return this->largest; }
 
-    /// Present, not quarantined and in a data centre that is in service.
+    /// Present, not quarantined, not draining and in a data centre that is in service.
     [[nodiscard]] bool is_available(host_index index) const;
 
     /// Accelerators of the host that a job without a guarantee may take.
