Let the backend server of the planned-stop case come back

Cause: the case waited in vain for a worker whose backend server was left in shutdown. Change: the server is switched back and its return is a check of its own.

--- a/testsuite/planned_stops/run.sh
+++ b/testsuite/planned_stops/run.sh
@@ -52,6 +52,8 @@
 check "no request failed while a backend server shut down" none_failed "$suite_out/failed"
 last_arrival=$(backend_log 0 | grep -o '"last_arrival_after_drain_ms":[0-9]*' | grep -o '[0-9]*$')
 check "a backend server in shutdown got nothing new after 2 s" [ "${last_arrival:-0}" -le 2000 ]
+curl -s -m 5 -d '{"drain": false}' "http://127.0.0.1:$((base_port + 60))/fault" > /dev/null
+check "it serves again when it has come back" wait_until 10 all_serving
 
 # Many notes, then a restart of everything.
 before=$(revision)
