--- a/src/include/redwingwheel/controller.h
+++ b/src/include/redwingwheel/controller.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "redwingwheel/clock.h"
@@ -69,6 +70,13 @@
     /// Accepts a job, or refuses it at once with the reason when it can never run.
     void submit(const job_description& job, command_done done);
 
+    /// True once after a poll brought reports that differ from the worker's last ones: a turn of
+    /// decisions is then worth its cost at once rather than at its period.
+    [[nodiscard]] bool take_reports_changed()
+    {
+        return std::exchange(this->reports_changed, false);
+    }
+
     /// Acts on the time; call it every 100 ms.
     void tick();
 
@@ -88,6 +96,7 @@
     struct agent_row {
         messages::agent_entry entry;
         std::uint64_t version = 0;
+        std::uint64_t reports_digest = 0;
     };
 
     void on_applied(const apply_note& of, const command_result& result, std::uint64_t index);
@@ -142,6 +151,7 @@
     std::unique_ptr<placement::engine> engine;
     std::map<std::string, agent_row, std::less<>> rows;
     std::uint64_t table_version = 0;
+    bool reports_changed = false;
     std::map<std::string, process_view, std::less<>> process_views;
     /// Stops asked for before the placement was applied.
     struct early_stop {
--- a/src/libagent/request_runner.h
+++ b/src/libagent/request_runner.h
@@ -24,6 +24,9 @@
     /// Work that must not run twice may go on this long after its caller's deadline, so that its
     /// answer can still be recorded.
     milliseconds longest_claimed_run{600'000};
+    /// Other work keeps its slot this long after its deadline: the backend server goes on with it,
+    /// and a slot that is given away earlier is used twice.
+    milliseconds longest_overrun{30'000};
 };
 
 /// Passes admitted requests to the backend server. Lives on the control thread.
--- a/src/libcontrol/control_service.cpp
+++ b/src/libcontrol/control_service.cpp
@@ -230,7 +230,7 @@
         return;
     }
     done(pack(*answer));
-    if (!poll->reports.empty()) {
+    if (this->decisions->take_reports_changed()) {
         this->schedule_decisions();
     }
 }
--- a/src/libcontrol/controller.cpp
+++ b/src/libcontrol/controller.cpp
@@ -5,6 +5,9 @@
 #include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
+#include "redwingwheel/digest.h"
+#include "redwingwheel/packing.h"
+
 namespace redwingwheel::control {
 
 namespace {
@@ -430,6 +433,9 @@
     }
     this->take_usage(from, answer);
     this->update_row(from);
+    const std::uint64_t digest = digest::content_hash(pack(from.reports));
+    this->reports_changed |=
+        digest != std::exchange(this->rows[from.worker].reports_digest, digest);
     const std::uint64_t revision = this->state.configuration().revision();
     if (from.revision < revision) {
         answer.catch_up.push_back(this->state.configuration().catch_up_after(from.revision));
