--- a/src/build-scripts/bench_load.sh
+++ b/src/build-scripts/bench_load.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Measures a deployment of the first example on loopback with redwingwheel-load, prints a table and
 # the goals, and leaves JSON lines and logs in a new folder. Usage: bench_load.sh BIN_DIR [SECONDS]
-# Exit status 1 means a wrong or lost answer or a double execution; a missed goal is only printed.
+# Exit status 1 means a wrong or lost answer, a double execution or a process that ended by itself;
+# a missed goal is only printed.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 source examples/deployment.sh
@@ -50,7 +51,7 @@
     shift
     echo "== $label"
     "$bin_dir/redwingwheel-load" --seed "$seed" --label "$label" --json "$lines" "$@" ||
-        { echo "$label: load tool ended with status $?"; faults=$((faults + 1)); }
+        { echo "$label: wrong or lost answers"; echo "$label" >> "$out/faults"; }
 }
 entry_load() {
     load "$@" "${entries[@]}" --token-file "$example_dir/tokens/$account.token" --keyed recounts
@@ -70,6 +71,25 @@
     echo "after $1: double executions $doubles, slots or connections in excess $excess"
     echo "{\"label\":\"$1\",\"double_executions\":$doubles,\"excess\":$excess}" >> "$lines"
     [ "$doubles" -eq 0 ] || faults=$((faults + 1))
+    check_processes "$1"
+}
+# check_processes LABEL: a process that ended by itself counts as a fault and is started again, so
+# that the later runs measure the whole deployment.
+check_processes() {
+    local name id status
+    for name in "${control_names[@]}" "${worker_names[@]}"; do
+        id=${process_ids[$name]}
+        if ! kill -0 "$id" 2> /dev/null; then
+            status=0
+            wait "$id" 2> /dev/null || status=$?
+            echo "$1: $name ended with status $status, started again"
+            echo "{\"label\":\"$1\",\"ended\":\"$name\",\"status\":$status}" >> "$lines"
+            faults=$((faults + 1))
+            start_daemon "$name"
+            deployment_ready
+            sleep 2
+        fi
+    done
 }
 # mix FRACTION: half price checks, three tenths inspections, one fifth recounts.
 mix() {
@@ -116,9 +136,9 @@
 entry_load withdrawal --mix "$(mix 0.5)" --seconds "$((seconds + 4))" &
 loader=$!
 sleep 4
-ctl ops datacentre withdraw dc2 --wait
+ctl ops datacentre withdraw dc2 --wait || echo "withdraw" >> "$out/faults"
 sleep "$((seconds / 2))"
-ctl ops datacentre restore dc2 --wait
+ctl ops datacentre restore dc2 --wait || echo "restore" >> "$out/faults"
 wait "$loader"
 check_doubles withdrawal
 failed=$(($(value withdrawal sent) - $(value withdrawal done)))
@@ -145,6 +165,7 @@
 
 deployment_stop || { echo "not every process ended well"; faults=$((faults + 1)); }
 trap - EXIT
+[ ! -s "$out/faults" ] || faults=$((faults + $(wc -l < "$out/faults")))
 echo "JSON lines: $lines"
-echo "runs with wrong or lost answers or double executions: $faults"
+echo "faults (wrong or lost answers, double executions, ended processes): $faults"
 [ "$faults" -eq 0 ]
