--- a/src/libagent/request_runner.cpp
+++ b/src/libagent/request_runner.cpp
@@ -91,8 +91,8 @@
         {"Content-Type", of.content_type.empty() ? "application/octet-stream" : of.content_type}};
     request.body = of.body;
     request.at_most_once = !of.idempotent;
-    request.deadline =
-        of.idempotent ? started.deadline : started.deadline + this->options.longest_claimed_run;
+    request.deadline = started.deadline + (of.idempotent ? this->options.longest_overrun
+                                                         : this->options.longest_claimed_run);
     spdlog::debug("event=attempt_started attempt={:016x} account={} service={}", attempt,
                   of.account, of.service);
     started.http_number = this->client.send(
