Attach no continuation to answers from other threads

Cause: an entry ended with a segmentation fault inside libpistache in one of two load runs. Pistache resolves a chained promise without its lock; our layer attached a continuation to the promise that send returns from the control thread, which grows the list of continuations while the transport's thread walks it. The faulting loop over 16-byte elements is that walk. Ruled out: a lock of our own, because the walk happens inside the library. Change: no continuation is attached outside the transport's thread. A planned stop tells callers to close and waits up to a second for them to take their answers. The fault was rare, so its absence proves little; the race is removed by construction. A warning option that clang does not know is now a pragma for GCC only.

--- a/src/include/redwingwheel/http_server.h
+++ b/src/include/redwingwheel/http_server.h
@@ -80,8 +80,9 @@
     /// Opens the port and begins to serve. Errors: listen_failed.
     [[nodiscard]] absl::Status start(const wire::address& on);
 
-    /// Waits until every request that was handed to the handler is answered and the answers have
-    /// left, or until `deadline`. Returns the number of requests that are still open.
+    /// Waits until every request that was handed to the handler is answered, then up to a second
+    /// for callers to take their answers and close; not beyond `deadline`. From here on answers
+    /// tell their callers to close. Returns the number of requests that are still open.
     std::size_t wait_until_idle(steady_time deadline);
 
     /// Closes the port and all connections; answers given later are dropped.
--- a/src/libhttp/http_server.cpp
+++ b/src/libhttp/http_server.cpp
@@ -65,7 +65,8 @@
     bool stopped = false;
     std::set<std::size_t> connected;
     std::size_t open_requests = 0;
-    std::atomic<std::size_t> unsent_answers{0};
+    /// Answers tell their callers to close.
+    bool closing = false;
     std::size_t abandoned = 0;
 };
 
@@ -131,25 +132,15 @@
             headers.add(std::make_shared<named_header>(name, value));
         }
         headers.add(std::make_shared<named_header>("Content-Type", answer.content_type));
-        const bool keep = this->keep_alive && !this->connection->refused;
+        const bool keep = this->keep_alive && !this->connection->refused && !this->state->closing;
         headers.add<Pistache::Http::Header::Connection>(
             keep ? Pistache::Http::ConnectionControl::KeepAlive
                  : Pistache::Http::ConnectionControl::Close);
-        ++this->state->unsent_answers;
-        const std::shared_ptr<shared_state> shared = this->state;
-        // Runs under Pistache's own locks, so it must not take the state's lock.
-        const std::shared_ptr<Pistache::Tcp::Peer> peer = this->writer.peer();
         // The next request is read only once this answer is in the queue.
         this->connection->busy = false;
-        this->writer.send(static_cast<Pistache::Http::Code>(answer.status), answer.body)
-            .then(
-                [shared, peer, keep](ssize_t) {
-                    --shared->unsent_answers;
-                    if (!keep) {
-                        end_output(*peer);
-                    }
-                },
-                [shared](const std::exception_ptr&) { --shared->unsent_answers; });
+        // No continuation is attached: Pistache resolves the promise that send returns without its
+        // lock, so that attaching one from this thread races with the transport's.
+        this->writer.send(static_cast<Pistache::Http::Code>(answer.status), answer.body);
     }
 
     std::shared_ptr<shared_state> state;
@@ -258,6 +249,7 @@
         // Answers queued for this peer leave the queue while its descriptor is still its own.
         this->transport()->flush();
         this->state->connected.erase(peer->getID());
+        this->state->idle.notify_all();
     }
 
 private:
@@ -279,7 +271,9 @@
                                               this, peer);
         writer.headers().add<Pistache::Http::Header::Connection>(
             Pistache::Http::ConnectionControl::Close);
-        writer.send(code, R"({"outcome":"not_run","reason":"the request cannot be read"})")
+        writer
+            .send(code, R"({"outcome":"not_run","reason":"the request cannot be read"})")
+            // Attached on the transport's own thread, which alone resolves it.
             .then([peer](ssize_t) { end_output(*peer); }, Pistache::Async::NoExcept);
     }
 
@@ -337,13 +331,21 @@
 std::size_t server::wait_until_idle(steady_time deadline)
 {
     std::unique_lock<std::mutex> guard(this->impl->state->lock);
+    this->impl->state->closing = true;
     shared_state& state = *this->impl->state;
     constexpr milliseconds poll_period{5};
-    while (state.open_requests + state.unsent_answers > 0 &&
-           std::chrono::steady_clock::now() < deadline) {
+    while (state.open_requests > 0 && std::chrono::steady_clock::now() < deadline) {
+        state.idle.wait_for(guard, poll_period);
+    }
+    // Callers close once they have their whole answer; one that keeps its connection idle is not
+    // waited for longer than this.
+    constexpr milliseconds close_patience{1000};
+    const steady_time give_up =
+        std::min(deadline, std::chrono::steady_clock::now() + close_patience);
+    while (!state.connected.empty() && std::chrono::steady_clock::now() < give_up) {
         state.idle.wait_for(guard, poll_period);
     }
-    return state.open_requests + state.unsent_answers;
+    return state.open_requests;
 }
 
 void server::stop()
--- a/src/libmetrics/metrics.cpp
+++ b/src/libmetrics/metrics.cpp
@@ -1,3 +1,8 @@
+// GCC 12 reports a member of Boost.Accumulators as maybe uninitialized when it is copied in place.
+#if defined(__GNUC__) && !defined(__clang__)
+#pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
+#endif
+
 #include "redwingwheel/metrics.h"
 
 #include <array>
