Split the controller by job; one reader of addresses and one bounded reader of bytes

Change: polls, feasibility and membership of the group are files of their own; wire::address is the address of the settings; packing.h bounds lengths and depth for all.

--- a/src/include/redwingwheel/packing.h
+++ b/src/include/redwingwheel/packing.h
@@ -43,7 +43,8 @@
         // A length in the message cannot exceed the message; without this bound a damaged length
         // makes the library allocate for it before it reads on.
         const std::size_t most = bytes.size();
-        const msgpack::unpack_limit limit(most, most, most, most, most);
+        constexpr std::size_t most_levels = 32;
+        const msgpack::unpack_limit limit(most, most, most, most, most, most_levels);
         const msgpack::object_handle handle =
             msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
         if (offset != bytes.size()) {
--- a/src/libconfig/configuration.cpp
+++ b/src/libconfig/configuration.cpp
@@ -6,7 +6,6 @@
 
 #include <fmt/format.h>
 
-#include "bounded_unpack.h"
 #include "contents.h"
 #include "note_check.h"
 #include "note_rules.h"
@@ -327,7 +326,7 @@
     }
     std::vector<history_entry> steps;
     if (!received.contents.empty()) {
-        absl::StatusOr<contents> things = bounded_unpack<contents>(received.contents);
+        absl::StatusOr<contents> things = unpack<contents>(received.contents);
         if (!things.ok()) {
             return translate_error(config_errc::bad_snapshot, things.status());
         }
@@ -348,7 +347,7 @@
             steps.push_back(history_entry{next.revision, note, {}, std::move(differences)});
         }
     }
-    absl::StatusOr<contents> ending = bounded_unpack<contents>(received.ending);
+    absl::StatusOr<contents> ending = unpack<contents>(received.ending);
     if (!ending.ok()) {
         return translate_error(config_errc::bad_snapshot, ending.status());
     }
@@ -384,7 +383,7 @@
 absl::StatusOr<configuration> configuration::restore(std::string_view bytes,
                                                      configuration_options given)
 {
-    absl::StatusOr<snapshot_form> form = bounded_unpack<snapshot_form>(bytes);
+    absl::StatusOr<snapshot_form> form = unpack<snapshot_form>(bytes);
     if (!form.ok()) {
         return translate_error(config_errc::bad_snapshot, form.status());
     }
--- a/src/libcontrol/control_service.cpp
+++ b/src/libcontrol/control_service.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
+#include "message_reading.h"
 #include "operator_interface.h"
 #include "redwingwheel/packing.h"
 
@@ -41,18 +42,6 @@
     return options;
 }
 
-template <class Message>
-std::optional<Message> read(const wire::incoming_request& request)
-{
-    absl::StatusOr<Message> message = unpack<Message>(request.body);
-    if (!message.ok()) {
-        spdlog::warn("event=message_refused kind={} error=\"{}\"", request.kind,
-                     errors::message_of(message.status()));
-        return std::nullopt;
-    }
-    return *std::move(message);
-}
-
 absl::Status unreadable()
 {
     return absl::InvalidArgumentError("the message is not readable");
@@ -219,7 +208,7 @@
 
 void control_service::serve_agent_poll(const wire::incoming_request& request, const served& done)
 {
-    const std::optional<messages::agent_poll> poll = read<messages::agent_poll>(request);
+    const std::optional<messages::agent_poll> poll = read_message<messages::agent_poll>(request);
     if (!poll.has_value()) {
         done(unreadable());
         return;
@@ -237,7 +226,7 @@
 
 void control_service::serve_entry_poll(const wire::incoming_request& request, const served& done)
 {
-    const std::optional<messages::entry_poll> poll = read<messages::entry_poll>(request);
+    const std::optional<messages::entry_poll> poll = read_message<messages::entry_poll>(request);
     if (!poll.has_value()) {
         done(unreadable());
         return;
@@ -275,7 +264,8 @@
 
 void control_service::serve_claim_look_up(const wire::incoming_request& request, const served& done)
 {
-    const std::optional<messages::look_up_claim> wanted = read<messages::look_up_claim>(request);
+    const std::optional<messages::look_up_claim> wanted =
+        read_message<messages::look_up_claim>(request);
     if (!wanted.has_value()) {
         done(unreadable());
         return;
@@ -286,7 +276,8 @@
 
 void control_service::serve_operator_call(const wire::incoming_request& request, const served& done)
 {
-    const std::optional<messages::operator_call> call = read<messages::operator_call>(request);
+    const std::optional<messages::operator_call> call =
+        read_message<messages::operator_call>(request);
     if (!call.has_value()) {
         done(unreadable());
         return;
@@ -299,7 +290,7 @@
 void control_service::serve_replication(const wire::incoming_request& request)
 {
     const std::optional<replication::peer_message> message =
-        read<replication::peer_message>(request);
+        read_message<replication::peer_message>(request);
     if (!message.has_value()) {
         return;
     }
@@ -309,33 +300,6 @@
     this->replica->receive(message->from, *message);
 }
 
-replication::formation_answer control_service::own_formation() const
-{
-    return {this->settings.control.listen, this->settings.data_centre, this->replica->identity(),
-            this->replica->has_state()};
-}
-
-std::string control_service::formation_reply()
-{
-    return pack(this->own_formation());
-}
-
-void control_service::serve_join(const wire::incoming_request& request)
-{
-    const std::optional<replication::member> joiner = read<replication::member>(request);
-    if (!joiner.has_value() || !this->replica->leads()) {
-        return;
-    }
-    for (const replication::member& known : this->joiners) {
-        if (known.id == joiner->id) {
-            return;
-        }
-    }
-    spdlog::info("event=replica_wants_to_join address={} identity={:016x}", joiner->address,
-                 joiner->id.value);
-    this->joiners.push_back(*joiner);
-}
-
 void control_service::apply(const replication::log_entry& entry)
 {
     const absl::StatusOr<command> read_command = unpack_command(entry.payload);
@@ -490,103 +454,6 @@
     }
 }
 
-void control_service::seek_group()
-{
-    if (this->replica->has_state()) {
-        return;
-    }
-    replication::formation_input input;
-    input.self = this->own_formation();
-    input.configured_addresses = this->settings.control.replicas;
-    for (const auto& [address, answer] : this->formation_answers) {
-        input.answers.push_back(answer);
-    }
-    const replication::formation_decision decision = replication::decide_formation(input);
-    if (decision.action == replication::formation_action::form) {
-        const absl::Status formed = this->replica->form(decision.members);
-        spdlog::info("event=group_formed members={} result=\"{}\"", decision.members.size(),
-                     formed.ToString());
-        return;
-    }
-    if (decision.action == replication::formation_action::join) {
-        this->ask_to_join();
-    }
-    for (const std::string& address : this->settings.control.replicas) {
-        if (address != this->settings.control.listen) {
-            this->ask_formation(address);
-        }
-    }
-}
-
-void control_service::ask_formation(const std::string& address)
-{
-    const steady_time deadline = std::chrono::steady_clock::now() + group_search_period;
-    this->client_for(address).call(static_cast<std::uint16_t>(messages::kind::formation), "",
-                                   deadline, [this, address](absl::StatusOr<std::string> body) {
-                                       if (!body.ok()) {
-                                           return;
-                                       }
-                                       const absl::StatusOr<replication::formation_answer> answer =
-                                           unpack<replication::formation_answer>(*body);
-                                       if (answer.ok()) {
-                                           this->loop.post([this, address, answer = *answer] {
-                                               this->formation_answers[address] = answer;
-                                           });
-                                       }
-                                   });
-}
-
-void control_service::ask_to_join()
-{
-    const replication::member self{this->replica->identity(), this->settings.control.listen,
-                                   this->settings.data_centre, false};
-    const steady_time deadline = std::chrono::steady_clock::now() + group_search_period;
-    for (const std::string& address : this->settings.control.replicas) {
-        if (address != this->settings.control.listen) {
-            this->client_for(address).call(static_cast<std::uint16_t>(messages::kind::join),
-                                           pack(self), deadline,
-                                           [](const absl::StatusOr<std::string>&) {});
-        }
-    }
-}
-
-void control_service::advance_replacement()
-{
-    if (this->joiners.empty() || !this->replica->leads()) {
-        return;
-    }
-    const replication::member joiner = this->joiners.front();
-    const replication::replica_status status = this->replica->status();
-    bool caught_up = false;
-    for (const replication::member_status& each : status.members) {
-        if (each.who.id == joiner.id) {
-            caught_up = each.caught_up;
-        }
-    }
-    const replication::replacement_step step =
-        replication::plan_replacement(this->replica->members(), joiner, caught_up);
-    const replication::replica::status_done report = [address = step.subject.address](
-                                                         const absl::Status& result) {
-        spdlog::info("event=member_changed address={} result=\"{}\"", address, result.ToString());
-    };
-    switch (step.action) {
-    case replication::replacement_action::add_learner:
-        this->replica->add_learner(step.subject, report);
-        return;
-    case replication::replacement_action::promote:
-        this->replica->promote(step.subject.id, report);
-        return;
-    case replication::replacement_action::remove:
-        this->replica->remove(step.subject.id, report);
-        return;
-    case replication::replacement_action::none:
-        this->joiners.erase(this->joiners.begin());
-        return;
-    case replication::replacement_action::wait:
-        return;
-    }
-}
-
 control_service::gauges control_service::read_gauges()
 {
     gauges read;
--- a/src/libcontrol/controller.cpp
+++ b/src/libcontrol/controller.cpp
@@ -5,24 +5,12 @@
 #include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
-#include "redwingwheel/digest.h"
-#include "redwingwheel/packing.h"
+#include "feasibility.h"
 
 namespace redwingwheel::control {
 
 namespace {
 
-placement::worker_spec spec_of(const messages::worker_announcement& worker)
-{
-    placement::worker_spec spec;
-    spec.name = worker.worker;
-    spec.data_centre = worker.data_centre;
-    spec.rack = worker.rack;
-    spec.accelerators = worker.accelerators;
-    spec.accelerators_per_group = worker.accelerators_per_group;
-    return spec;
-}
-
 placement::job_spec spec_of(const job_description& job)
 {
     placement::job_spec spec;
@@ -52,12 +40,6 @@
     return placed;
 }
 
-std::chrono::sys_days day_of(std::int64_t unix_ms)
-{
-    const std::chrono::sys_time<milliseconds> time{milliseconds(unix_ms)};
-    return std::chrono::floor<std::chrono::days>(time);
-}
-
 void log_decision(const placement::decision_record& record)
 {
     std::string refused;
@@ -73,55 +55,6 @@
 
 } // namespace
 
-std::vector<placement::guarantee> guarantees_of(const config::configuration& configuration,
-                                                std::optional<std::int64_t> now_ms)
-{
-    std::vector<config::agreement> agreements = configuration.agreements();
-    std::stable_sort(agreements.begin(), agreements.end(),
-                     [](const config::agreement& left, const config::agreement& right) {
-                         return left.starts < right.starts;
-                     });
-    std::vector<placement::guarantee> guarantees;
-    for (const config::agreement& each : agreements) {
-        if (now_ms.has_value() && !config::in_term(each, day_of(*now_ms))) {
-            continue;
-        }
-        placement::guarantee wanted;
-        wanted.agreement = each.id;
-        wanted.account = each.account;
-        wanted.level = static_cast<placement::cell_level>(each.level);
-        wanted.count = each.count;
-        wanted.data_centre = each.data_centre;
-        guarantees.push_back(std::move(wanted));
-    }
-    return guarantees;
-}
-
-std::vector<config::problem>
-check_feasibility(const config::configuration& proposed,
-                  const std::vector<messages::worker_announcement>& inventory)
-{
-    std::vector<config::problem> problems;
-    // The engine needs a clock, which this check does not use.
-    placement::engine trial({}, [] { return steady_time(); });
-    for (const messages::worker_announcement& worker : inventory) {
-        const absl::Status added = trial.add_worker(spec_of(worker));
-        if (!added.ok()) {
-            spdlog::warn("event=worker_refused worker={} error=\"{}\"", worker.worker,
-                         errors::message_of(added));
-        }
-    }
-    const std::vector<placement::guarantee> wanted = guarantees_of(proposed, std::nullopt);
-    for (const placement::shortfall& each : trial.check_guarantees(wanted)) {
-        problems.push_back(
-            {"", fmt::format("agreements.{}.count", each.agreement), fmt::format("{}", each.wanted),
-             fmt::format("at most {} cells of level {} in {}", each.wanted - each.missing,
-                         placement::name_of(each.level),
-                         each.data_centre.empty() ? "any data centre" : each.data_centre)});
-    }
-    return problems;
-}
-
 controller::controller(const controller_options& chosen, clock_function clock_source,
                        const control_state& applied_state, controller_hooks callbacks)
     : options(chosen), clock(std::move(clock_source)), state(applied_state),
@@ -400,53 +333,6 @@
     }
 }
 
-std::optional<messages::agent_poll_answer> controller::poll(const messages::agent_poll& from)
-{
-    const membership::worker_view* const known = this->workers.find(from.worker);
-    const std::uint64_t former = known == nullptr ? 0 : known->incarnation;
-    const membership::poll_verdict verdict =
-        this->workers.poll(from.worker, from.incarnation, from.sequence);
-    if (!verdict.accepted) {
-        spdlog::warn("event=poll_refused worker={} sequence={}", from.worker, from.sequence);
-        return std::nullopt;
-    }
-    messages::agent_poll_answer answer;
-    this->take_announcement(from, answer);
-    const auto worker = this->state.workers().find(from.worker);
-    if (worker == this->state.workers().end()) {
-        return answer;
-    }
-    if (verdict.new_incarnation) {
-        this->coordinator.on_worker_incarnation(from.worker, from.incarnation);
-        if (former != 0) {
-            this->replaced.push_back(
-                {from.worker, former, this->clock() + this->options.permits.surely_ended_after()});
-        }
-    }
-    if (verdict.returned) {
-        spdlog::info("event=worker_returned worker={}", from.worker);
-        this->add_worker(worker->second);
-        this->marked_gone.erase(from.worker);
-    }
-    for (const membership::member_report& report : from.reports) {
-        this->coordinator.on_report(from.worker, from.incarnation, report);
-    }
-    this->take_usage(from, answer);
-    this->update_row(from);
-    const std::uint64_t digest = digest::content_hash(pack(from.reports));
-    this->reports_changed |=
-        digest != std::exchange(this->rows[from.worker].reports_digest, digest);
-    const std::uint64_t revision = this->state.configuration().revision();
-    if (from.revision < revision) {
-        answer.catch_up.push_back(this->state.configuration().catch_up_after(from.revision));
-    }
-    answer.granted = this->granter.grant(worker->second.data_centre, revision);
-    answer.commands = this->coordinator.commands_for(from.worker, from.incarnation);
-    this->describe_tasks(answer);
-    this->note_process(from.worker, "agent", worker->second.data_centre, from.revision);
-    return answer;
-}
-
 void controller::end_claims_of_replaced()
 {
     const steady_time now = this->clock();
@@ -469,123 +355,6 @@
         claim_step{request::mark_unknown{worker, incarnation, this->hooks.wall_clock_ms()}});
 }
 
-void controller::take_announcement(const messages::agent_poll& from,
-                                   messages::agent_poll_answer& answer)
-{
-    const auto known = this->state.workers().find(from.worker);
-    if (from.announcement.empty()) {
-        answer.want_announcement = known == this->state.workers().end();
-        return;
-    }
-    const messages::worker_announcement& announced = from.announcement.front();
-    const bool unchanged = known != this->state.workers().end() && known->second == announced;
-    if (unchanged || this->announcing.contains(announced.worker)) {
-        answer.want_announcement = !unchanged;
-        return;
-    }
-    answer.want_announcement = true;
-    this->announcing.insert(announced.worker);
-    spdlog::info("event=worker_announced worker={} data_centre={} rack={} accelerators={}",
-                 announced.worker, announced.data_centre, announced.rack, announced.accelerators);
-    this->propose(announce_worker{announced});
-}
-
-void controller::take_usage(const messages::agent_poll& from, messages::agent_poll_answer& answer)
-{
-    answer.usage_batch_recorded = this->state.recorded_usage_batch(from.worker, from.incarnation);
-    const bool fresh = !from.usage.empty() && from.usage_batch > answer.usage_batch_recorded;
-    if (!fresh || this->recording_usage.contains(from.worker)) {
-        return;
-    }
-    this->recording_usage.insert(from.worker);
-    const std::string worker = from.worker;
-    this->hooks.propose(record_usage{worker, from.incarnation, from.usage_batch, from.usage},
-                        [this, worker](const absl::StatusOr<command_result>&) {
-                            this->recording_usage.erase(worker);
-                        });
-}
-
-void controller::update_row(const messages::agent_poll& from)
-{
-    const messages::worker_announcement& worker = this->state.workers().at(from.worker);
-    agent_row& row = this->rows[from.worker];
-    messages::agent_entry next = row.entry;
-    next.worker = from.worker;
-    next.data_centre = worker.data_centre;
-    next.address = worker.address;
-    next.incarnation = from.incarnation;
-    next.may_start = this->state.data_centre(worker.data_centre).in_service;
-    next.shutting_down = from.shutting_down;
-    next.lost = false;
-    const bool load_changed = row.entry.load.running != from.load.running ||
-                              row.entry.load.queued != from.load.queued ||
-                              row.entry.load.held_slots != from.load.held_slots ||
-                              row.entry.load.error_share != from.load.error_share;
-    const bool changed =
-        row.version == 0 || load_changed || row.entry.lost ||
-        row.entry.incarnation != next.incarnation || row.entry.address != next.address ||
-        row.entry.may_start != next.may_start || row.entry.shutting_down != next.shutting_down;
-    next.load = from.load;
-    const absl::Status known = this->engine->set_worker_draining(from.worker, from.shutting_down);
-    if (!known.ok()) {
-        spdlog::debug("event=worker_not_placed_on worker={}", from.worker);
-    }
-    row.entry = std::move(next);
-    if (changed) {
-        this->touch(row);
-    }
-}
-
-void controller::touch(agent_row& row)
-{
-    row.version = ++this->table_version;
-}
-
-void controller::describe_tasks(messages::agent_poll_answer& answer) const
-{
-    for (const membership::gang_command& each : answer.commands) {
-        if (each.kind != membership::gang_command_kind::reserve) {
-            continue;
-        }
-        const job_record* const job = this->state.find_job(each.task.job);
-        if (job != nullptr) {
-            answer.tasks.push_back({each.task.job, job->job.account, job->job.service,
-                                    job->job.parameters, job->job.can_checkpoint});
-        }
-    }
-}
-
-void controller::note_process(std::string_view name, std::string_view role,
-                              std::string_view data_centre, std::uint64_t revision)
-{
-    process_view& view = this->process_views[std::string(name)];
-    view.name = name;
-    view.role = role;
-    view.data_centre = data_centre;
-    view.revision = revision;
-    view.last_poll = this->clock();
-}
-
-messages::entry_poll_answer controller::poll(const messages::entry_poll& from)
-{
-    messages::entry_poll_answer answer;
-    const std::uint64_t revision = this->state.configuration().revision();
-    answer.granted = this->granter.grant(from.data_centre, revision);
-    if (from.revision < revision) {
-        answer.catch_up.push_back(this->state.configuration().catch_up_after(from.revision));
-    }
-    const std::uint64_t seen = from.table_term == this->term ? from.table_version : 0;
-    for (const auto& [worker, row] : this->rows) {
-        if (row.version > seen) {
-            answer.agents.push_back(row.entry);
-        }
-    }
-    answer.table_version = this->table_version;
-    answer.table_term = this->term;
-    this->note_process(from.entry, "entry", from.data_centre, from.revision);
-    return answer;
-}
-
 void controller::submit(const job_description& job, command_done done)
 {
     if (this->state.find_job(job.id) == nullptr) {
--- /dev/null
+++ b/src/libcontrol/message_reading.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <optional>
+
+#include <spdlog/spdlog.h>
+
+#include "redwingwheel/packing.h"
+#include "redwingwheel/rpc.h"
+
+namespace redwingwheel::control {
+
+/// The message that a request carries; empty, and logged, when it is not readable.
+template <class Message>
+std::optional<Message> read_message(const wire::incoming_request& request)
+{
+    absl::StatusOr<Message> message = unpack<Message>(request.body);
+    if (!message.ok()) {
+        spdlog::warn("event=message_refused kind={} error=\"{}\"", request.kind,
+                     errors::message_of(message.status()));
+        return std::nullopt;
+    }
+    return *std::move(message);
+}
+
+} // namespace redwingwheel::control
