Bound the connections of an HTTP listener

Cause: the option for the largest number of connections was not read anywhere. Ruled out: refusing at accept, because Pistache's accept cannot be reached.

--- a/src/include/redwingwheel/http_server.h
+++ b/src/include/redwingwheel/http_server.h
@@ -66,6 +66,7 @@
     int threads = 2;
     /// Larger requests are answered 413 and their connection is closed.
     std::size_t max_request_bytes = std::size_t{1024} * 1024;
+    /// A request on a connection beyond this is answered 503 and its connection is closed.
     std::size_t max_connections = 1024;
 };
 
--- a/src/libhttp/http_server.cpp
+++ b/src/libhttp/http_server.cpp
@@ -193,7 +193,6 @@
         const std::shared_ptr<connection_state> connection = state_of(peer);
         {
             const std::lock_guard<std::mutex> guard(this->state->lock);
-            this->state->connected.insert(peer->getID());
             ++this->state->open_requests;
         }
         connection->busy = true;
@@ -218,6 +217,10 @@
             connection->refused = true;
             return;
         }
+        if (!this->admit(*peer)) {
+            this->refuse(peer, *connection, Pistache::Http::Code::Service_Unavailable);
+            return;
+        }
         const std::shared_ptr<Pistache::Http::RequestParser> parser = getParser(peer);
         try {
             if (!parser->feed(buffer, size)) {
@@ -262,6 +265,19 @@
         return request.version() == Pistache::Http::Version::Http11;
     }
 
+    /// Counts the connection; false when it would be one too many.
+    bool admit(const Pistache::Tcp::Peer& peer)
+    {
+        const std::lock_guard<std::mutex> guard(this->state->lock);
+        std::set<std::size_t>& connected = this->state->connected;
+        if (!connected.contains(peer.getID()) &&
+            connected.size() >= this->state->options.max_connections) {
+            return false;
+        }
+        connected.insert(peer.getID());
+        return true;
+    }
+
     /// Answers with an error, once, and ends the connection.
     void refuse(const std::shared_ptr<Pistache::Tcp::Peer>& peer, connection_state& connection,
                 Pistache::Http::Code code)
--- a/src/libhttp/http_test.cpp
+++ b/src/libhttp/http_test.cpp
@@ -198,6 +198,31 @@
     REQUIRE(test.server.open_requests() == 0);
 }
 
+// Guards against one caller that takes every connection of an entry.
+TEST_CASE("connections beyond the limit are refused and freed ones are reused", "[http]")
+{
+    http::server_options limits;
+    limits.max_connections = 1;
+    http::server server(limits, [](const http::server_request&, const http::responder& respond) {
+        respond({200, "text/plain", "served", {}});
+    });
+    const wire::address address = free_address();
+    REQUIRE(server.start(address).ok());
+    http::client other({});
+    {
+        http::client first({});
+        REQUIRE(get(first, address, "/", milliseconds(3000))->body == "served");
+        REQUIRE(get(other, address, "/", milliseconds(3000))->status == 503);
+        REQUIRE(get(first, address, "/", milliseconds(3000))->body == "served");
+    }
+    int status = 503;
+    for (int round = 0; round < 100 && status == 503; ++round) {
+        std::this_thread::sleep_for(milliseconds(10));
+        status = get(other, address, "/", milliseconds(3000))->status;
+    }
+    REQUIRE(status == 200);
+}
+
 // Guards against answers of pipelined requests that overtake each other: the second request here
 // would be answered first.
 TEST_CASE("a second request before the answer to the first is not served", "[http]")
