Fail an end-to-end case whose wait ran out

Cause: a wait between checks that ran out was printed and not counted; one such wait hid a worker that did not come back, and only the longer run time showed it. Ruled out: longer waits, because the bounds hold where the system works. Change: waits outside a check count as failures of the case. Conclusion: stricter than before; no bound was changed.

--- a/testsuite/agent_failures/run.sh
+++ b/testsuite/agent_failures/run.sh
@@ -36,7 +36,7 @@
     curl -s -m 5 -d '{"slow_ms": 0}' "http://127.0.0.1:$((base_port + 60 + index))/fault" > /dev/null
 done
 start_daemon "$busy"
-wait_until 20 all_serving
+must_happen 20 all_serving
 sleep 4
 echo "$body" | any "$account" request send recounts --file - --key "$key" --deadline-ms 6000 \
     > /dev/null 2> "$suite_out/outcome"
@@ -46,7 +46,7 @@
 # An agent freezes past its lease under a gang, which is stopped, freed and run again elsewhere.
 any "$account" job submit --id frozen --service inspections --members 4 --accelerators 8 \
     --adjacency data_centre --parameters '{"run_ms": 6000}' > /dev/null
-wait_until 10 job_is frozen running
+must_happen 10 job_is frozen running
 victim=$(json "$account" job show frozen | grep -o '"workers":\["w[0-9]*' | grep -o 'w[0-9]*$')
 kill -STOP "${process_ids[$victim]}"
 starts_again() { json "$account" job show frozen | grep -q '"starts":2'; }
@@ -54,7 +54,7 @@
 kill -CONT "${process_ids[$victim]}"
 check "the gang ends" wait_until 25 job_is frozen done
 check "no accelerator was used twice" [ "$(doubles)" -eq 0 ]
-wait_until 20 all_serving
+must_happen 20 all_serving
 
 # A data centre is withdrawn while its agents are frozen; they wake after the withdrawal.
 dc2=(w5 w6 w7 w8)
@@ -83,7 +83,7 @@
 }
 check "no task started there after the withdrawal" [ "$(late_starts)" -eq 0 ]
 any ops datacentre restore dc2 --wait > /dev/null
-wait_until 20 all_serving
+must_happen 20 all_serving
 any "$account" job submit --id back --service inspections --members 8 --accelerators 8 \
     --adjacency data_centre --parameters '{"run_ms": 300}' > /dev/null 2>&1
 check "every worker serves again after the return" all_workers_known
--- a/testsuite/common.sh
+++ b/testsuite/common.sh
@@ -42,6 +42,14 @@
     all_workers_known
 }
 
+# must_happen SECONDS COMMAND...: waits as wait_until does; the case fails when it waits in vain.
+must_happen() {
+    if ! wait_until "$@"; then
+        echo "FAILED: not within $1 s: ${*:2}"
+        failures=$((failures + 1))
+    fi
+}
+
 # suite_end: prints the logs' warnings when a check failed; returns the verdict.
 suite_end() {
     if [ "$failures" -gt 0 ]; then
--- a/testsuite/control_failures/run.sh
+++ b/testsuite/control_failures/run.sh
@@ -45,7 +45,7 @@
 check "every recount is answered after the leader was killed" answered "$suite_out/second"
 check "no recount ran twice" at_most_once
 start_daemon "$leader"
-wait_until 20 all_serving
+must_happen 20 all_serving
 
 before=$(revision)
 for name in "${control_names[@]}"; do
@@ -55,7 +55,7 @@
 for name in "${control_names[@]}"; do
     start_daemon "$name"
 done
-wait_until 30 all_serving
+must_happen 30 all_serving
 send_recounts "$suite_out/third"
 check "the configuration is the same after all replicas were killed" [ "$(revision)" = "$before" ]
 check "recorded answers are the same" same_answers "$suite_out/second" "$suite_out/third"
@@ -79,11 +79,11 @@
     now=$(replicas) && [ "$(echo "$now" | grep -oE '"role":"(leader|follower)"' | wc -l)" -eq 3 ] &&
         ! echo "$now" | grep -qE "learner|$lost_identity"
 }
-wait_until 30 replaced
+must_happen 30 replaced
 check "a replica with an empty disk takes the place of the lost one" replaced
 stop_process "$leader" KILL
 check "a change is accepted after a second host is lost" \
-    wait_until 15 any ops release apply "$example_dir/release-note-2.yaml" --wait
+    must_happen 15 any ops release apply "$example_dir/release-note-2.yaml" --wait
 check "the accepted configuration went on" [ "$(revision)" = "$((before + 1))" ]
 send_recounts "$suite_out/fourth"
 check "recorded answers survive the second loss" same_answers "$suite_out/second" "$suite_out/fourth"
--- a/testsuite/planned_stops/run.sh
+++ b/testsuite/planned_stops/run.sh
@@ -32,7 +32,7 @@
     check "no request failed while $2 was stopped" none_failed "$suite_out/failed"
     check "$2 ended with status 0" ended_well "$status"
     start_daemon "$1"
-    wait_until 20 all_serving
+    must_happen 20 all_serving
 }
 
 leader=$(leader_name)
@@ -70,7 +70,7 @@
 done
 for name in "${worker_names[@]}" "${control_names[@]}"; do stop_process "$name" KILL; done
 for name in "${control_names[@]}" "${worker_names[@]}"; do start_daemon "$name"; done
-wait_until 30 all_serving
+must_happen 30 all_serving
 check "every note is in force after everything was restarted" [ "$(revision)" = "$((before + notes))" ]
 
 # Two operators race from the same base.
--- a/testsuite/single_process/run.sh
+++ b/testsuite/single_process/run.sh
@@ -58,13 +58,13 @@
 first=$(recount)
 stop_process all KILL
 start_daemon all
-wait_until 20 all_serving
+must_happen 20 all_serving
 check "the recorded answer survives a kill" [ "$(recount)" = "$first" ]
 check "the job's record survives a kill" job_is gang done
 stop_process all
 check "a planned stop ends with status 0" [ "$?" -eq 0 ]
 start_daemon all
-wait_until 20 all_serving
+must_happen 20 all_serving
 check "no request, task or accelerator was used twice" [ "$(doubles)" -eq 0 ]
 # A guarantee that the inventory cannot hold is refused with the shortfall.
 printf 'note: large\nbase: 1\nadded:\n  agreements:\n    - {id: a2, account: mercado-central, level: host, count: 3, starts: 2026-01-01, ends: 2099-01-01}\n' \
