--- a/src/include/redwingwheel/clock.h
+++ b/src/include/redwingwheel/clock.h
@@ -1,13 +1,33 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 #include <functional>
 
 /// Time as the decision code sees it: a steady clock that is passed in, so that daemons, tests and
 /// replays run the same code.
 namespace redwingwheel {
 
-using steady_time = std::chrono::steady_clock::time_point;
+/// A steady clock that also counts time in which the machine is suspended. A permit, lease or
+/// deadline that ran out during a suspension must have expired when the process goes on;
+/// std::chrono::steady_clock stands still meanwhile.
+struct boot_clock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<boot_clock>;
+    static constexpr bool is_steady = true;
+
+    [[nodiscard]] static time_point now() noexcept
+    {
+        timespec read{};
+        clock_gettime(CLOCK_BOOTTIME, &read);
+        return time_point(std::chrono::seconds(read.tv_sec) +
+                          std::chrono::nanoseconds(read.tv_nsec));
+    }
+};
+
+using steady_time = boot_clock::time_point;
 using std::chrono::milliseconds;
 
 /// Returns the present time of this process's steady clock.
@@ -16,7 +36,7 @@
 /// The real steady clock.
 [[nodiscard]] inline clock_function system_clock_function()
 {
-    return [] { return std::chrono::steady_clock::now(); };
+    return [] { return boot_clock::now(); };
 }
 
 /// A clock that moves only when told, for tests and replays. Outlives the functions it hands out.
--- /dev/null
+++ b/src/include/redwingwheel/job_model.h
@@ -0,0 +1,173 @@
+#pragma once
+
+#include <algorithm>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <msgpack.hpp>
+
+/// Jobs as graphs of steps, and the catalogue of queues, services and accounts that rules them.
+/// Plain values without I/O.
+namespace redwingwheel::jobs {
+
+/// What a task uses, or a worker offers.
+struct resources {
+    std::int64_t cpu_millis = 0; ///< Thousandths of a core.
+    std::int64_t memory_mb = 0;  ///< MiB.
+    std::int64_t accelerators = 0;
+
+    [[nodiscard]] bool fits_in(const resources& room) const
+    {
+        return this->cpu_millis <= room.cpu_millis && this->memory_mb <= room.memory_mb &&
+               this->accelerators <= room.accelerators;
+    }
+    resources& operator+=(const resources& other)
+    {
+        this->cpu_millis += other.cpu_millis;
+        this->memory_mb += other.memory_mb;
+        this->accelerators += other.accelerators;
+        return *this;
+    }
+    resources& operator-=(const resources& other)
+    {
+        this->cpu_millis -= other.cpu_millis;
+        this->memory_mb -= other.memory_mb;
+        this->accelerators -= other.accelerators;
+        return *this;
+    }
+    friend bool operator==(const resources&, const resources&) = default;
+    MSGPACK_DEFINE(cpu_millis, memory_mb, accelerators)
+};
+
+/// One step of a job: tasks that are alike.
+struct step_definition {
+    std::uint32_t tasks = 1;
+    resources each;
+    std::int64_t estimate_ms = 0; ///< Rough duration of one task; 0 when unknown.
+    /// Earlier steps whose tasks must all be done first.
+    std::vector<std::uint32_t> after;
+    bool resumable = false; ///< Tasks checkpoint and can go on from a checkpoint.
+    bool gang = false;      ///< All tasks run at the same time or none does.
+    bool same_rack = false; ///< Tasks are slowed down when they are spread over racks.
+    std::string required_label;
+    std::string data_rack;              ///< Tasks elsewhere are slowed down.
+    std::uint32_t per_worker_limit = 0; ///< Most tasks of the step on one worker; 0: no limit.
+    bool duplicates_allowed = false;
+    bool lasting = false; ///< Tasks run until the job is cancelled and are always restarted.
+    std::string image;
+    std::int64_t latency_target_ms = 0;
+    bool filler = false; ///< The processor share is not counted against the worker's capacity.
+    std::uint32_t disruption_limit = 0; ///< Lasting tasks that may be away by our own doing.
+
+    MSGPACK_DEFINE(tasks, each, estimate_ms, after, resumable, gang, same_rack, required_label,
+                   data_rack, per_worker_limit, duplicates_allowed, lasting, image,
+                   latency_target_ms, filler, disruption_limit)
+};
+
+struct job_definition {
+    /// Given to the worker with each start.
+    std::string payload;
+    std::vector<step_definition> steps;
+    /// 0: the steps run once, at once. Otherwise occurrence K is due at
+    /// `first_due_unix_ms` + K * `interval_ms`.
+    std::uint32_t occurrences = 0;
+    std::int64_t first_due_unix_ms = 0;
+    std::int64_t interval_ms = 0;
+
+    MSGPACK_DEFINE(payload, steps, occurrences, first_due_unix_ms, interval_ms)
+};
+
+/// Where callers submit jobs, and how these are treated.
+struct queue_definition {
+    std::string name;
+    std::string host;
+    std::string path_prefix;
+    std::string service;
+    std::uint32_t priority = 0; ///< 0 is the most urgent and may preempt others.
+    std::uint32_t max_attempts = 1;
+    double stretch = 1.0; ///< Objective: this many times the job's chain of work ...
+    std::int64_t latency_target_ms = 0; ///< ... and this much more.
+    bool open = false;                  ///< Needs no key.
+
+    MSGPACK_DEFINE(name, host, path_prefix, service, priority, max_attempts, stretch,
+                   latency_target_ms, open)
+};
+
+struct account_definition {
+    std::string name;
+    std::vector<std::string> keys;
+    /// Accelerators that belong to the account's most urgent jobs at all times.
+    std::int64_t guaranteed_accelerators = 0;
+
+    MSGPACK_DEFINE(name, keys, guaranteed_accelerators)
+};
+
+/// A complete configuration under a version that its author gave it.
+struct catalogue {
+    std::uint64_t version = 0; ///< 0: none was installed.
+    std::string document;      ///< As it was sent, for reading back.
+    std::vector<queue_definition> queues;
+    std::vector<std::string> services;
+    std::vector<account_definition> accounts;
+
+    MSGPACK_DEFINE(version, document, queues, services, accounts)
+};
+
+/// A task of a job. `occurrence` is 0 for jobs without occurrences.
+struct task_id {
+    std::string job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+
+    friend auto operator<=>(const task_id&, const task_id&) = default;
+    MSGPACK_DEFINE(job, occurrence, step, index)
+};
+
+/// One start of a task. Numbers begin at 1 and rise; the members of a gang share theirs.
+struct run_id {
+    task_id task;
+    std::uint32_t number = 0;
+
+    friend auto operator<=>(const run_id&, const run_id&) = default;
+    MSGPACK_DEFINE(task, number)
+};
+
+/// One incarnation of a worker: a restarted worker may keep its id, never its start time.
+struct worker_incarnation {
+    std::string id;
+    std::int64_t born_unix_ms = 0;
+
+    friend auto operator<=>(const worker_incarnation&, const worker_incarnation&) = default;
+    MSGPACK_DEFINE(id, born_unix_ms)
+};
+
+enum class run_end : std::uint8_t {
+    done,
+    failed,  ///< Through its own fault or the worker's; counts as an attempt.
+    stopped, ///< On our order.
+    lapsed,  ///< The worker's lease ran out.
+    broken,  ///< Another member of the gang ended.
+    alone,   ///< The other members of the gang did not arrive in time.
+};
+
+[[nodiscard]] std::string_view run_end_name(run_end end);
+
+/// An end as the worker lists it.
+struct listed_end {
+    std::uint64_t number = 0; ///< Counts the ends of one incarnation, from 1.
+    run_id run;
+    run_end how = run_end::done;
+    std::string checkpoint;
+
+    MSGPACK_DEFINE(number, run, how, checkpoint)
+};
+
+} // namespace redwingwheel::jobs
+
+MSGPACK_ADD_ENUM(redwingwheel::jobs::run_end)
--- /dev/null
+++ b/src/include/redwingwheel/scheduler.h
@@ -0,0 +1,169 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "redwingwheel/clock.h"
+#include "redwingwheel/job_state.h"
+
+/// The leader's decisions on jobs: which run goes to which worker, which runs are stopped in favour
+/// of others, and which are given up.
+namespace redwingwheel::jobs {
+
+/// A worker as it describes itself.
+struct worker_description {
+    worker_incarnation incarnation;
+    std::string service;
+    std::string data_centre;
+    std::string rack;
+    std::vector<std::string> labels;
+    resources capacity;
+    bool draining = false;
+
+    friend bool operator==(const worker_description&, const worker_description&) = default;
+    MSGPACK_DEFINE(incarnation, service, data_centre, rack, labels, capacity, draining)
+};
+
+/// A run that a worker lists as running.
+struct run_progress {
+    run_id run;
+    std::string checkpoint;
+    std::uint32_t percent = 0;
+
+    MSGPACK_DEFINE(run, checkpoint, percent)
+};
+
+struct scheduler_options {
+    /// Life of a grant: a worker's lease lasts at most this long after its agent's poll was sent.
+    milliseconds grant_life{6000};
+    /// Beyond a grant's life before its worker's runs are given up: clock drift between machines
+    /// and the delay between the agent's reading of its clock and the grant.
+    milliseconds grant_margin{300};
+    /// A worker that failed work is avoided this long; doubles with each failure in a row.
+    milliseconds suspicion{4000};
+    /// A run without progress for this long, on a step whose progress is known, is moved.
+    milliseconds stall_limit{5000};
+    /// An urgent gang waits this long for its rack before it is spread.
+    milliseconds rack_patience{1000};
+    /// A reservation that has not been filled by then is decided anew.
+    milliseconds reservation_life{1200};
+};
+
+/// Why a run was stopped or released, for the log.
+struct eviction {
+    run_id run;
+    std::string in_favour_of;
+    MSGPACK_DEFINE(run, in_favour_of)
+};
+
+/// What the leader is to do after a round of decisions.
+struct schedule {
+    /// One command for each gang; proposed in this order.
+    std::vector<assign_runs> assignments;
+    std::vector<released_run> releases;
+    std::vector<eviction> evictions;
+};
+
+struct placement_request;
+
+/// Lives on the leader; its memory is rebuilt from the workers' reports.
+class scheduler {
+public:
+    scheduler(const scheduler_options& options, clock_function clock, const job_state& state);
+
+    /// Forgets all reports. Grants of an earlier leader may last until `grant_life` from now.
+    void begin_leadership();
+
+    /// Takes a worker's report. The grant that answers it counts from now.
+    void report(const worker_description& worker, const std::vector<run_progress>& running);
+
+    /// The worker's incarnation is over: nothing runs on it any more.
+    void worker_ended(const worker_incarnation& worker);
+
+    /// Notes how a run ended, to tell bad workers from bad jobs.
+    void note_end(const worker_incarnation& worker, const listed_end& end);
+
+    /// The worker refused a start; it gets no more for a moment.
+    void note_refusal(const worker_incarnation& worker);
+
+    /// One round of decisions. `now_unix_ms` is the leader's time of day.
+    [[nodiscard]] schedule decide(std::int64_t now_unix_ms);
+
+    /// True when the run is to go on: given to the worker, its job alive, not being evicted.
+    [[nodiscard]] bool wanted(const run_id& run) const;
+
+    /// True when the worker has listed the run since it was given to it.
+    [[nodiscard]] bool confirmed(const run_id& run) const;
+
+    /// True when at least one worker of the service has reported.
+    [[nodiscard]] std::size_t worker_count() const { return this->workers.size(); }
+
+private:
+    struct known_worker {
+        worker_description description;
+        steady_time grant_until;
+        bool ended = false;
+        steady_time suspect_until;
+        steady_time refused_until;
+        std::uint32_t failures_in_row = 0;
+    };
+    struct known_run {
+        steady_time since;
+        steady_time last_progress;
+        std::uint32_t percent = 0;
+        std::string checkpoint;
+        bool listed = false;
+    };
+    struct reservation {
+        steady_time made;
+        std::vector<worker_incarnation> places;
+        resources each;
+    };
+    /// Runs that end together when one of them is evicted.
+    struct victim {
+        std::vector<run_id> runs;
+        std::vector<std::size_t> places;
+        resources each;
+        double cost = 0.0; ///< Core-seconds of work that would be lost.
+    };
+    struct eviction_plan {
+        std::vector<std::size_t> victims;
+        std::vector<victim> units;
+        std::vector<std::size_t> places;
+        double cost = 0.0;
+    };
+    struct candidate;
+    struct round;
+
+    void forget_ended_runs();
+    void release_lost(round& now);
+    void stop_stalled(round& now);
+    void picture_rooms(round& now) const;
+    [[nodiscard]] std::vector<candidate> candidates(const round& now) const;
+    [[nodiscard]] std::set<std::string> guaranteed_jobs() const;
+    void mark_eligible(round& now, const candidate& next) const;
+    void place(round& now, const candidate& next);
+    void assign(round& now, const candidate& next, const std::vector<std::size_t>& places);
+    void hold_reservation(round& now, const candidate& next, const placement_request& request);
+    [[nodiscard]] std::vector<victim> victims(const round& now) const;
+    [[nodiscard]] static std::optional<eviction_plan>
+    plan_eviction(const round& now, const placement_request& request,
+                  const std::vector<victim>& possible);
+    void reserve_by_eviction(round& now, const candidate& next, const placement_request& request);
+
+    scheduler_options options;
+    clock_function clock;
+    const job_state& state;
+    std::map<worker_incarnation, known_worker> workers;
+    std::map<run_id, known_run> runs;
+    std::map<run_id, std::string> evicting;
+    std::map<task_id, std::set<std::string>> failed_on;
+    std::map<task_id, reservation> reservations;
+    steady_time leading_since;
+};
+
+} // namespace redwingwheel::jobs
--- a/src/libagent/agent_service.cpp
+++ b/src/libagent/agent_service.cpp
@@ -140,7 +140,7 @@
         this->poll();
     });
     bool busy = true;
-    while (busy && std::chrono::steady_clock::now() < deadline) {
+    while (busy && boot_clock::now() < deadline) {
         this->loop.run_and_wait([this, &busy] {
             this->requests->tick();
             busy = !this->requests->idle() || !this->tasks->idle();
@@ -265,7 +265,7 @@
     if (this->announce) {
         message.announcement.push_back(this->announcement());
     }
-    const steady_time sent_at = std::chrono::steady_clock::now();
+    const steady_time sent_at = boot_clock::now();
     this->control.call_once(messages::kind::agent_poll, pack(message), sent_at + poll_patience,
                             [this, sent_at](const absl::StatusOr<std::string>& body) {
                                 this->on_poll_answer(sent_at, body);
@@ -275,7 +275,7 @@
 void agent_service::schedule_poll(milliseconds after)
 {
     const std::uint64_t number = this->poll_number;
-    this->loop.run_at(std::chrono::steady_clock::now() + after, [this, number] {
+    this->loop.run_at(boot_clock::now() + after, [this, number] {
         // A poll that was sent meanwhile has its own successor.
         if (number == this->poll_number) {
             this->poll();
@@ -350,7 +350,7 @@
     this->health_asked = true;
     http::client_request request;
     request.url = fmt::format("http://{}/health", this->settings.agent.backend);
-    request.deadline = std::chrono::steady_clock::now() + health_patience;
+    request.deadline = boot_clock::now() + health_patience;
     this->client.send(std::move(request), [this](absl::StatusOr<http::client_response> reply) {
         const bool serving = reply.ok() && reply->status == status_ok;
         const bool known = serving || !reply.ok() || reply->status == status_unavailable;
@@ -389,7 +389,7 @@
 void agent_service::collect_usage()
 {
     // One batch at a time is on its way, so that a lost answer cannot make it count twice.
-    const steady_time now = std::chrono::steady_clock::now();
+    const steady_time now = boot_clock::now();
     if (!this->unrecorded_usage.empty() || now < this->next_usage) {
         return;
     }
--- a/src/libclient/leader_client.cpp
+++ b/src/libclient/leader_client.cpp
@@ -139,7 +139,7 @@
 
 void leader_client::repeat(const std::shared_ptr<repeated_call>& call)
 {
-    const steady_time now = std::chrono::steady_clock::now();
+    const steady_time now = boot_clock::now();
     const steady_time try_deadline = std::min(call->deadline, now + try_patience);
     this->call_once(
         call->kind, call->body, try_deadline, [this, call](absl::StatusOr<std::string> result) {
@@ -149,7 +149,7 @@
             }
             call->may_have_run |=
                 error_code<leader_errc>(result.status()) == leader_errc::unanswered;
-            const steady_time next = std::chrono::steady_clock::now() + pause_between_tries;
+            const steady_time next = boot_clock::now() + pause_between_tries;
             if (next >= call->deadline) {
                 const leader_errc code =
                     call->may_have_run ? leader_errc::unanswered : leader_errc::no_leader;
--- a/src/libcontrol/control_service.cpp
+++ b/src/libcontrol/control_service.cpp
@@ -397,7 +397,7 @@
         }
         address = found->second;
     }
-    const steady_time deadline = std::chrono::steady_clock::now() + peer_call_patience;
+    const steady_time deadline = boot_clock::now() + peer_call_patience;
     this->client_for(address).call(static_cast<std::uint16_t>(messages::kind::replication),
                                    pack(message), deadline,
                                    [](const absl::StatusOr<std::string>&) {});
@@ -434,7 +434,7 @@
         return;
     }
     this->replica->tick();
-    const steady_time now = std::chrono::steady_clock::now();
+    const steady_time now = boot_clock::now();
     if (now >= this->next_decision) {
         this->next_decision = now + decision_period;
         this->decide();
--- a/src/libcontrol/control_service_members.cpp
+++ b/src/libcontrol/control_service_members.cpp
@@ -71,7 +71,7 @@
 
 void control_service::ask_formation(const std::string& address)
 {
-    const steady_time deadline = std::chrono::steady_clock::now() + answer_patience;
+    const steady_time deadline = boot_clock::now() + answer_patience;
     this->client_for(address).call(static_cast<std::uint16_t>(messages::kind::formation), "",
                                    deadline, [this, address](absl::StatusOr<std::string> body) {
                                        if (!body.ok()) {
@@ -91,7 +91,7 @@
 {
     const replication::member self{this->replica->identity(), this->settings.control.listen,
                                    this->settings.data_centre, false};
-    const steady_time deadline = std::chrono::steady_clock::now() + answer_patience;
+    const steady_time deadline = boot_clock::now() + answer_patience;
     for (const std::string& address : this->settings.control.replicas) {
         if (address != this->settings.control.listen) {
             this->client_for(address).call(static_cast<std::uint16_t>(messages::kind::join),
--- a/src/libentry/entry_service.cpp
+++ b/src/libentry/entry_service.cpp
@@ -131,7 +131,7 @@
 {
     this->loop.run_and_wait([this] { this->unhealthy = true; });
     const steady_time notice_over =
-        std::min(deadline, std::chrono::steady_clock::now() + this->settings.entry.drain_notice);
+        std::min(deadline, boot_clock::now() + this->settings.entry.drain_notice);
     std::this_thread::sleep_until(notice_over);
     this->loop.run_and_wait([this] { this->draining = true; });
     const std::size_t left = this->server->wait_until_idle(deadline);
@@ -251,7 +251,7 @@
             return;
         }
     }
-    asked.deadline = std::chrono::steady_clock::now() + milliseconds(deadline_ms);
+    asked.deadline = boot_clock::now() + milliseconds(deadline_ms);
     asked.content_type = request.header("content-type");
     asked.body = std::move(request.body);
     const std::shared_ptr<request_flow> flow =
@@ -280,7 +280,7 @@
     call.body = std::move(request.body);
     this->control.call(
         messages::kind::operator_call, pack(call),
-        std::chrono::steady_clock::now() + operator_patience,
+        boot_clock::now() + operator_patience,
         [respond](const absl::StatusOr<std::string>& body) {
             if (!body.ok()) {
                 const bool untouched = error_code<control::leader_errc>(body.status()) ==
@@ -310,7 +310,7 @@
     message.revision = this->configuration.revision();
     message.table_version = this->table_version;
     message.table_term = this->table_term;
-    const steady_time sent_at = std::chrono::steady_clock::now();
+    const steady_time sent_at = boot_clock::now();
     this->control.call_once(messages::kind::entry_poll, pack(message), sent_at + poll_patience,
                             [this, sent_at](const absl::StatusOr<std::string>& body) {
                                 this->on_poll_answer(sent_at, body);
@@ -330,7 +330,7 @@
             next = answer->catch_up.empty() ? this->settings.timing.poll : milliseconds(0);
         }
     }
-    this->loop.run_at(std::chrono::steady_clock::now() + next, [this] { this->poll(); });
+    this->loop.run_at(boot_clock::now() + next, [this] { this->poll(); });
 }
 
 void entry_service::take_permit(const messages::entry_poll_answer& answer, steady_time sent_at)
@@ -354,7 +354,7 @@
 
 void entry_service::take_agents(const messages::entry_poll_answer& answer)
 {
-    const steady_time now = std::chrono::steady_clock::now();
+    const steady_time now = boot_clock::now();
     for (const messages::agent_entry& each : answer.agents) {
         if (each.lost) {
             this->router.remove_agent(each.worker);
--- a/src/libentry/request_flow.cpp
+++ b/src/libentry/request_flow.cpp
@@ -55,7 +55,7 @@
 request_flow::request_flow(entry_service& service, caller_request request,
                            http::responder respond_to)
     : owner(service), asked(std::move(request)), reply(std::move(respond_to)),
-      begun_at(std::chrono::steady_clock::now())
+      begun_at(boot_clock::now())
 {
 }
 
@@ -111,7 +111,7 @@
                                          this->payload_digest()};
     const std::shared_ptr<request_flow> self = this->shared_from_this();
     const steady_time patience =
-        std::min(this->asked.deadline, std::chrono::steady_clock::now() + claim_patience);
+        std::min(this->asked.deadline, boot_clock::now() + claim_patience);
     this->owner.control.call(
         messages::kind::look_up_claim, pack(wanted), patience,
         [self, text = std::string(reason)](const absl::StatusOr<std::string>& body) {
@@ -168,7 +168,7 @@
     begin.incarnation = this->current.choice.incarnation;
     const std::shared_ptr<request_flow> self = this->shared_from_this();
     const steady_time patience =
-        std::min(this->asked.deadline, std::chrono::steady_clock::now() + claim_patience);
+        std::min(this->asked.deadline, boot_clock::now() + claim_patience);
     this->owner.control.call(
         messages::kind::claim, request::pack_command(begin), patience,
         [self](const absl::StatusOr<std::string>& body) { self->on_claim(body); });
@@ -255,7 +255,7 @@
 void request_flow::send()
 {
     wire::rpc_client* const agent = this->owner.agent_client(this->current.choice.worker);
-    const steady_time now = std::chrono::steady_clock::now();
+    const steady_time now = boot_clock::now();
     this->current.sent_at = now;
     this->owner.router.sent(this->current.choice);
     if (agent == nullptr || now >= this->asked.deadline) {
@@ -316,7 +316,7 @@
 {
     request::answer_observation seen;
     seen.outcome = outcome;
-    seen.latency = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() -
+    seen.latency = std::chrono::duration_cast<milliseconds>(boot_clock::now() -
                                                             this->current.sent_at);
     if (load != nullptr) {
         seen.load = *load;
@@ -346,7 +346,7 @@
     if (answer.outcome == outcome::done) {
         this->owner.retries.note_latency(this->asked.service.name,
                                          std::chrono::duration_cast<milliseconds>(
-                                             std::chrono::steady_clock::now() - this->begun_at));
+                                             boot_clock::now() - this->begun_at));
         this->record_and_answer(answer);
         return;
     }
@@ -362,7 +362,7 @@
         const std::shared_ptr<request_flow> self = this->shared_from_this();
         this->owner.control.call(
             messages::kind::claim, request::pack_command(abandon),
-            std::chrono::steady_clock::now() + record_patience,
+            boot_clock::now() + record_patience,
             [self, answer = std::move(answer), cause](const absl::StatusOr<std::string>& body) {
                 if (!read_claim(body).ok()) {
                     self->refuse(status_unavailable, "not_run", answer.detail);
@@ -401,7 +401,7 @@
 void request_flow::follow(std::uint64_t attempt, const std::string& worker,
                           std::uint64_t incarnation)
 {
-    const steady_time now = std::chrono::steady_clock::now();
+    const steady_time now = boot_clock::now();
     if (now >= this->asked.deadline) {
         this->refuse(status_timeout, "unknown",
                      "the work may still run; send the request again with the same key");
@@ -436,7 +436,7 @@
     if (!fetched.ok() || fetched->at == state::running) {
         const std::shared_ptr<request_flow> self = this->shared_from_this();
         this->owner.loop.run_at(
-            std::chrono::steady_clock::now() + fetch_period,
+            boot_clock::now() + fetch_period,
             [self, attempt, worker, incarnation] { self->follow(attempt, worker, incarnation); });
         return;
     }
@@ -462,7 +462,7 @@
 void request_flow::on_never_seen(std::uint64_t attempt, const std::string& worker,
                                  std::uint64_t incarnation)
 {
-    const steady_time now = std::chrono::steady_clock::now();
+    const steady_time now = boot_clock::now();
     if (!this->never_seen_since.has_value()) {
         this->never_seen_since = now;
     }
@@ -488,7 +488,7 @@
     kernel::control_loop& loop = this->owner.loop;
     agent->call(static_cast<std::uint16_t>(messages::kind::cancel_attempt),
                 pack(messages::cancel_attempt{attempt, true}),
-                std::chrono::steady_clock::now() + fetch_patience,
+                boot_clock::now() + fetch_patience,
                 [self, &loop, attempt, worker, incarnation](absl::StatusOr<std::string> body) {
                     loop.post([self, attempt, worker, incarnation, body = std::move(body)] {
                         const absl::StatusOr<messages::cancel_answer> answer =
@@ -522,7 +522,7 @@
     const std::shared_ptr<request_flow> self = this->shared_from_this();
     this->owner.control.call(
         messages::kind::claim, request::pack_command(finish),
-        std::chrono::steady_clock::now() + record_patience,
+        boot_clock::now() + record_patience,
         [self, answer](const absl::StatusOr<std::string>& body) {
             const absl::StatusOr<messages::claim_reply> recorded = read_claim(body);
             if (!recorded.ok()) {
@@ -583,7 +583,7 @@
     whole.headers.emplace("X-Outcome", outcome);
     const bool delivered = this->reply(whole);
     const double took =
-        std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - this->begun_at)
+        std::chrono::duration<double, std::milli>(boot_clock::now() - this->begun_at)
             .count();
     const std::string_view priority = config::to_text(this->asked.service.request_class);
     this->owner.metrics.add("redwingwheel_requests_total",
--- a/src/libhttp/http_client.cpp
+++ b/src/libhttp/http_client.cpp
@@ -130,7 +130,7 @@
         curl_easy_setopt(of.handle, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(of.handle, CURLOPT_FORBID_REUSE, 1L);
     }
-    const milliseconds left = remaining_until(request.deadline, std::chrono::steady_clock::now());
+    const milliseconds left = remaining_until(request.deadline, boot_clock::now());
     curl_easy_setopt(of.handle, CURLOPT_TIMEOUT_MS,
                      static_cast<long>(std::max<std::int64_t>(left.count(), 1)));
 }
--- a/src/libhttp/http_server.cpp
+++ b/src/libhttp/http_server.cpp
@@ -350,15 +350,15 @@
     this->impl->state->closing = true;
     shared_state& state = *this->impl->state;
     constexpr milliseconds poll_period{5};
-    while (state.open_requests > 0 && std::chrono::steady_clock::now() < deadline) {
+    while (state.open_requests > 0 && boot_clock::now() < deadline) {
         state.idle.wait_for(guard, poll_period);
     }
     // Callers close once they have their whole answer; one that keeps its connection idle is not
     // waited for longer than this.
     constexpr milliseconds close_patience{1000};
     const steady_time give_up =
-        std::min(deadline, std::chrono::steady_clock::now() + close_patience);
-    while (!state.connected.empty() && std::chrono::steady_clock::now() < give_up) {
+        std::min(deadline, boot_clock::now() + close_patience);
+    while (!state.connected.empty() && boot_clock::now() < give_up) {
         state.idle.wait_for(guard, poll_period);
     }
     return state.open_requests;
--- a/src/libhttp/http_test.cpp
+++ b/src/libhttp/http_test.cpp
@@ -25,7 +25,7 @@
 
 steady_time in(milliseconds time)
 {
-    return std::chrono::steady_clock::now() + time;
+    return boot_clock::now() + time;
 }
 
 wire::address free_address()
--- /dev/null
+++ b/src/libjobs/job_state.cpp
@@ -0,0 +1,417 @@
+#include "redwingwheel/job_state.h"
+
+#include <algorithm>
+
+#include "redwingwheel/packing.h"
+
+namespace redwingwheel::jobs {
+
+namespace {
+
+occurrence_record make_occurrence(const job_definition& definition, std::int64_t due_unix_ms)
+{
+    occurrence_record made;
+    made.due_unix_ms = due_unix_ms;
+    for (const step_definition& step : definition.steps) {
+        step_record record;
+        record.tasks.resize(step.tasks);
+        made.steps.push_back(std::move(record));
+    }
+    return made;
+}
+
+bool all_done(const occurrence_record& occurrence)
+{
+    return std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
+                       [](const step_record& step) { return step.done == step.tasks.size(); });
+}
+
+/// No task of it is given to a worker.
+bool is_idle(const occurrence_record& occurrence)
+{
+    return std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
+                       [](const step_record& step) { return step.assigned == 0; });
+}
+
+std::int64_t due_time(const job_record& job, std::uint32_t occurrence)
+{
+    if (job.definition.occurrences == 0) {
+        return job.submitted_unix_ms;
+    }
+    return job.definition.first_due_unix_ms + occurrence * job.definition.interval_ms;
+}
+
+} // namespace
+
+bool is_ready(const job_definition& definition, const occurrence_record& occurrence,
+              std::uint32_t step)
+{
+    const std::vector<std::uint32_t>& after = definition.steps[step].after;
+    return std::all_of(after.begin(), after.end(), [&occurrence](std::uint32_t earlier) {
+        return occurrence.steps[earlier].done == occurrence.steps[earlier].tasks.size();
+    });
+}
+
+job_verdict job_state::apply(const job_command& command)
+{
+    return std::visit([this](const auto& each) { return this->on(each); }, command);
+}
+
+job_verdict job_state::on(const install_catalogue& command)
+{
+    const catalogue& present = this->held.configuration;
+    if (command.installed.version == present.version &&
+        command.installed.document != present.document) {
+        return job_verdict::conflicting_version;
+    }
+    if (command.installed.version > present.version) {
+        this->held.configuration = command.installed;
+    }
+    return job_verdict::accepted;
+}
+
+job_verdict job_state::on(const set_evacuation& command)
+{
+    if (command.evacuated) {
+        this->held.evacuated.insert(command.data_centre);
+    }
+    else {
+        this->held.evacuated.erase(command.data_centre);
+    }
+    return job_verdict::accepted;
+}
+
+job_verdict job_state::on(const submit_job& command)
+{
+    if (this->held.jobs.contains(command.id)) {
+        return job_verdict::accepted;
+    }
+    const queue_definition* const queue = this->route(command.host, command.path);
+    if (queue == nullptr) {
+        return this->held.configuration.version == 0 ? job_verdict::no_catalogue
+                                                     : job_verdict::unknown_queue;
+    }
+    const account_definition* const account = this->account_of(command.key);
+    if (account == nullptr && !queue->open) {
+        return job_verdict::unknown_key;
+    }
+    job_record job;
+    job.queue = queue->name;
+    job.service = queue->service;
+    job.account = account == nullptr ? "" : account->name;
+    job.priority = queue->priority;
+    job.max_attempts = std::max<std::uint32_t>(1, queue->max_attempts);
+    job.stretch = queue->stretch;
+    job.latency_target_ms = queue->latency_target_ms;
+    job.definition = command.definition;
+    job.submitted_unix_ms = command.now_unix_ms;
+    this->begin_occurrences(job, command.now_unix_ms);
+    this->held.jobs.emplace(command.id, std::move(job));
+    return job_verdict::accepted;
+}
+
+job_verdict job_state::on(const cancel_job& command)
+{
+    const auto found = this->held.jobs.find(command.id);
+    if (found == this->held.jobs.end()) {
+        return job_verdict::unknown_job;
+    }
+    job_record& job = found->second;
+    if (!job.ended()) {
+        job.status = job_status::cancelled;
+        job.ended_unix_ms = command.now_unix_ms;
+        std::erase_if(job.open, [](const auto& entry) { return is_idle(entry.second); });
+    }
+    return job_verdict::accepted;
+}
+
+bool job_state::can_assign(const assignment& each) const
+{
+    const job_record* const job = this->find(each.run.task.job);
+    const task_record* const task = this->find(each.run.task);
+    return job != nullptr && !job->ended() && task != nullptr &&
+           task->phase == task_phase::waiting && each.run.number > task->last_run &&
+           is_ready(job->definition, job->open.at(each.run.task.occurrence), each.run.task.step);
+}
+
+job_verdict job_state::on(const assign_runs& command)
+{
+    const bool possible =
+        std::all_of(command.runs.begin(), command.runs.end(),
+                    [this](const assignment& each) { return this->can_assign(each); });
+    if (!possible) {
+        return job_verdict::stale;
+    }
+    for (const assignment& each : command.runs) {
+        const task_id& id = each.run.task;
+        job_record& job = this->held.jobs.at(id.job);
+        step_record& step = job.open.at(id.occurrence).steps[id.step];
+        task_record& task = step.tasks[id.index];
+        task.phase = task_phase::assigned;
+        task.last_run = each.run.number;
+        task.worker = each.worker;
+        ++step.assigned;
+        job.status = job_status::running;
+        this->runs[each.worker].insert(each.run);
+    }
+    return job_verdict::accepted;
+}
+
+job_verdict job_state::on(const record_ends& command)
+{
+    std::uint64_t& recorded = this->held.recorded[command.worker];
+    for (const listed_end& end : command.ends) {
+        if (end.number <= recorded) {
+            continue;
+        }
+        recorded = end.number;
+        this->record_end(end, command.now_unix_ms);
+    }
+    return job_verdict::accepted;
+}
+
+job_verdict job_state::on(const release_runs& command)
+{
+    for (const released_run& each : command.runs) {
+        const task_id& id = each.run.task;
+        const task_record* const known = this->find(id);
+        if (known == nullptr || known->phase != task_phase::assigned ||
+            known->last_run != each.run.number) {
+            continue;
+        }
+        job_record& job = this->held.jobs.at(id.job);
+        step_record& step = job.open.at(id.occurrence).steps[id.step];
+        task_record& task = step.tasks[id.index];
+        if (!each.checkpoint.empty()) {
+            task.checkpoint = each.checkpoint;
+        }
+        this->detach(each.run, task, step);
+        this->settle(job, id.occurrence, command.now_unix_ms);
+    }
+    return job_verdict::accepted;
+}
+
+job_verdict job_state::on(const advance_time& command)
+{
+    for (auto& [id, job] : this->held.jobs) {
+        this->begin_occurrences(job, command.now_unix_ms);
+    }
+    std::erase_if(this->held.jobs, [&command](const auto& entry) {
+        return entry.second.ended() && entry.second.open.empty() &&
+               entry.second.ended_unix_ms < command.forget_ended_before_unix_ms;
+    });
+    return job_verdict::accepted;
+}
+
+void job_state::record_end(const listed_end& end, std::int64_t now_unix_ms)
+{
+    const task_id& id = end.run.task;
+    const task_record* const known = this->find(id);
+    if (known == nullptr || known->last_run != end.run.number || known->phase == task_phase::done) {
+        return;
+    }
+    job_record& job = this->held.jobs.at(id.job);
+    step_record& step = job.open.at(id.occurrence).steps[id.step];
+    task_record& task = step.tasks[id.index];
+    if (task.phase == task_phase::assigned) {
+        this->detach(end.run, task, step);
+    }
+    if (!end.checkpoint.empty()) {
+        task.checkpoint = end.checkpoint;
+    }
+    if (end.how == run_end::done) {
+        this->finish_tasks(job.definition.steps[id.step], step, id);
+    }
+    if (end.how == run_end::failed) {
+        this->count_failure(job, end, now_unix_ms);
+    }
+    this->settle(job, id.occurrence, now_unix_ms);
+}
+
+/// The members of a gang are done together: one such end stands for all of them.
+void job_state::finish_tasks(const step_definition& definition, step_record& step,
+                             const task_id& ended)
+{
+    task_id id = ended;
+    for (id.index = 0; id.index < step.tasks.size(); ++id.index) {
+        task_record& task = step.tasks[id.index];
+        if (task.phase == task_phase::done || (!definition.gang && id.index != ended.index)) {
+            continue;
+        }
+        if (task.phase == task_phase::assigned) {
+            this->detach({id, task.last_run}, task, step);
+        }
+        task.phase = task_phase::done;
+        ++step.done;
+    }
+}
+
+void job_state::count_failure(job_record& job, const listed_end& end, std::int64_t now_unix_ms)
+{
+    const task_id& id = end.run.task;
+    const step_definition& definition = job.definition.steps[id.step];
+    step_record& step = job.open.at(id.occurrence).steps[id.step];
+    std::uint32_t failures = ++step.tasks[id.index].failures;
+    if (definition.gang) {
+        if (step.last_failed_run != end.run.number) {
+            step.last_failed_run = end.run.number;
+            ++step.gang_failures;
+        }
+        failures = step.gang_failures;
+    }
+    if (failures >= job.max_attempts && !definition.lasting && !job.ended()) {
+        job.status = job_status::failed;
+        job.ended_unix_ms = now_unix_ms;
+    }
+}
+
+void job_state::detach(const run_id& run, task_record& task, step_record& step)
+{
+    task.phase = task_phase::waiting;
+    --step.assigned;
+    const auto found = this->runs.find(task.worker);
+    if (found != this->runs.end()) {
+        found->second.erase(run);
+        if (found->second.empty()) {
+            this->runs.erase(found);
+        }
+    }
+}
+
+/// Closes an occurrence that is over, and the job with its last one. Occurrences of an ended job
+/// stay open until their last run has ended.
+void job_state::settle(job_record& job, std::uint32_t occurrence, std::int64_t now_unix_ms)
+{
+    const auto found = job.open.find(occurrence);
+    if (found != job.open.end() && all_done(found->second)) {
+        job.open.erase(found);
+    }
+    if (job.ended()) {
+        std::erase_if(job.open, [](const auto& entry) { return is_idle(entry.second); });
+    }
+    if (!job.ended() && job.open.empty() && job.begun == job.occurrence_count()) {
+        job.status = job_status::completed;
+        job.ended_unix_ms = now_unix_ms;
+    }
+}
+
+void job_state::begin_occurrences(job_record& job, std::int64_t now_unix_ms)
+{
+    while (!job.ended() && job.begun < job.occurrence_count() &&
+           due_time(job, job.begun) <= now_unix_ms) {
+        job.open.emplace(job.begun, make_occurrence(job.definition, due_time(job, job.begun)));
+        ++job.begun;
+    }
+}
+
+void job_state::index_runs()
+{
+    this->runs.clear();
+    for (const auto& [name, job] : this->held.jobs) {
+        for (const auto& [number, occurrence] : job.open) {
+            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                const std::vector<task_record>& tasks = occurrence.steps[step].tasks;
+                for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                    if (tasks[index].phase == task_phase::assigned) {
+                        this->runs[tasks[index].worker].insert(
+                            {{name, number, step, index}, tasks[index].last_run});
+                    }
+                }
+            }
+        }
+    }
+}
+
+std::string job_state::pack_snapshot() const
+{
+    return pack(this->held);
+}
+
+absl::Status job_state::restore_snapshot(std::string_view bytes)
+{
+    absl::StatusOr<contents> read = unpack<contents>(bytes);
+    if (!read.ok()) {
+        return read.status();
+    }
+    this->held = *std::move(read);
+    this->index_runs();
+    return absl::OkStatus();
+}
+
+const job_record* job_state::find(const std::string& id) const
+{
+    const auto found = this->held.jobs.find(id);
+    return found == this->held.jobs.end() ? nullptr : &found->second;
+}
+
+const task_record* job_state::find(const task_id& id) const
+{
+    const job_record* const job = this->find(id.job);
+    if (job == nullptr) {
+        return nullptr;
+    }
+    const auto occurrence = job->open.find(id.occurrence);
+    if (occurrence == job->open.end() || id.step >= occurrence->second.steps.size() ||
+        id.index >= occurrence->second.steps[id.step].tasks.size()) {
+        return nullptr;
+    }
+    return &occurrence->second.steps[id.step].tasks[id.index];
+}
+
+const std::set<run_id>& job_state::runs_on(const worker_incarnation& worker) const
+{
+    static const std::set<run_id> none;
+    const auto found = this->runs.find(worker);
+    return found == this->runs.end() ? none : found->second;
+}
+
+std::uint64_t job_state::recorded_ends(const worker_incarnation& worker) const
+{
+    const auto found = this->held.recorded.find(worker);
+    return found == this->held.recorded.end() ? 0 : found->second;
+}
+
+const queue_definition* job_state::route(std::string_view host, std::string_view path) const
+{
+    const queue_definition* best = nullptr;
+    for (const queue_definition& queue : this->held.configuration.queues) {
+        if (queue.host == host && path.starts_with(queue.path_prefix) &&
+            (best == nullptr || queue.path_prefix.size() > best->path_prefix.size())) {
+            best = &queue;
+        }
+    }
+    return best;
+}
+
+const account_definition* job_state::account_of(std::string_view key) const
+{
+    if (key.empty()) {
+        return nullptr;
+    }
+    for (const account_definition& account : this->held.configuration.accounts) {
+        if (std::find(account.keys.begin(), account.keys.end(), key) != account.keys.end()) {
+            return &account;
+        }
+    }
+    return nullptr;
+}
+
+std::uint64_t job_state::pending(std::string_view queue) const
+{
+    return static_cast<std::uint64_t>(
+        std::count_if(this->held.jobs.begin(), this->held.jobs.end(), [queue](const auto& entry) {
+            return entry.second.queue == queue && entry.second.status == job_status::queued;
+        }));
+}
+
+bool job_state::occurrence_due(std::int64_t now_unix_ms) const
+{
+    return std::any_of(
+        this->held.jobs.begin(), this->held.jobs.end(), [now_unix_ms](const auto& entry) {
+            const job_record& job = entry.second;
+            return !job.ended() && job.begun < job.occurrence_count() &&
+                   due_time(job, job.begun) <= now_unix_ms;
+        });
+}
+
+} // namespace redwingwheel::jobs
--- /dev/null
+++ b/src/libjobs/scheduler.cpp
@@ -0,0 +1,395 @@
+#include "redwingwheel/scheduler.h"
+
+#include <tuple>
+
+#include "scheduler_round.h"
+
+namespace redwingwheel::jobs {
+
+namespace {
+
+/// A worker is avoided after this many failures of different jobs in a row: one failure is more
+/// often the job's fault.
+constexpr std::uint32_t failures_before_suspicion = 2;
+/// Suspicion doubles with each further failure, up to 2 to this power.
+constexpr std::uint32_t max_suspicion_doublings = 3;
+/// A worker that refused a start for want of room is left out until it has reported again.
+constexpr milliseconds refusal_pause{300};
+/// Suspects are left out only while they are at most one in this many workers.
+constexpr std::size_t workers_per_suspect = 3;
+/// A job that ends later than this many times its objective earns nothing.
+constexpr std::int64_t worthless_after_objectives = 3;
+
+std::int64_t longest_chain_ms(const job_definition& definition)
+{
+    std::vector<std::int64_t> end(definition.steps.size(), 0);
+    std::int64_t longest = 0;
+    for (std::size_t step = 0; step < definition.steps.size(); ++step) {
+        std::int64_t begin = 0;
+        for (const std::uint32_t earlier : definition.steps[step].after) {
+            begin = std::max(begin, end[earlier]);
+        }
+        end[step] = begin + definition.steps[step].estimate_ms;
+        longest = std::max(longest, end[step]);
+    }
+    return longest;
+}
+
+std::int64_t widest_step_accelerators(const job_definition& definition)
+{
+    std::int64_t widest = 0;
+    for (const step_definition& step : definition.steps) {
+        widest = std::max(widest, step.each.accelerators * step.tasks);
+    }
+    return widest;
+}
+
+bool is_ordered_before(const std::tuple<urgency, int, std::uint32_t, std::int64_t>& left,
+                       const std::tuple<urgency, int, std::uint32_t, std::int64_t>& right)
+{
+    return left < right;
+}
+
+} // namespace
+
+scheduler::scheduler(const scheduler_options& chosen, clock_function now, const job_state& of)
+    : options(chosen), clock(std::move(now)), state(of), leading_since(this->clock())
+{
+}
+
+void scheduler::begin_leadership()
+{
+    this->workers.clear();
+    this->runs.clear();
+    this->evicting.clear();
+    this->failed_on.clear();
+    this->reservations.clear();
+    this->leading_since = this->clock();
+}
+
+void scheduler::report(const worker_description& worker, const std::vector<run_progress>& running)
+{
+    const steady_time now = this->clock();
+    for (auto& [incarnation, other] : this->workers) {
+        if (incarnation.id == worker.incarnation.id &&
+            incarnation.born_unix_ms < worker.incarnation.born_unix_ms) {
+            other.ended = true;
+        }
+    }
+    known_worker& known = this->workers[worker.incarnation];
+    known.description = worker;
+    known.grant_until = now + this->options.grant_life;
+    for (const run_progress& each : running) {
+        known_run& run = this->runs[each.run];
+        if (!run.listed || run.percent != each.percent) {
+            run.last_progress = now;
+        }
+        if (!run.listed && run.since == steady_time()) {
+            run.since = now;
+        }
+        run.listed = true;
+        run.percent = each.percent;
+        if (!each.checkpoint.empty()) {
+            run.checkpoint = each.checkpoint;
+        }
+    }
+}
+
+void scheduler::worker_ended(const worker_incarnation& worker)
+{
+    this->workers[worker].ended = true;
+}
+
+void scheduler::note_end(const worker_incarnation& worker, const listed_end& end)
+{
+    known_worker& known = this->workers[worker];
+    if (end.how == run_end::done) {
+        known.failures_in_row = 0;
+        known.suspect_until = steady_time();
+    }
+    if (end.how != run_end::failed) {
+        return;
+    }
+    this->failed_on[end.run.task].insert(worker.id);
+    ++known.failures_in_row;
+    if (known.failures_in_row >= failures_before_suspicion) {
+        const std::uint32_t doublings =
+            std::min(known.failures_in_row - failures_before_suspicion, max_suspicion_doublings);
+        known.suspect_until = this->clock() + this->options.suspicion * (1 << doublings);
+    }
+}
+
+void scheduler::note_refusal(const worker_incarnation& worker)
+{
+    this->workers[worker].refused_until = this->clock() + refusal_pause;
+}
+
+bool scheduler::wanted(const run_id& run) const
+{
+    const task_record* const task = this->state.find(run.task);
+    const job_record* const job = this->state.find(run.task.job);
+    return task != nullptr && task->phase == task_phase::assigned &&
+           task->last_run == run.number && !job->ended() && !this->evicting.contains(run);
+}
+
+bool scheduler::confirmed(const run_id& run) const
+{
+    const auto found = this->runs.find(run);
+    return found != this->runs.end() && found->second.listed;
+}
+
+schedule scheduler::decide(std::int64_t now_unix_ms)
+{
+    round now;
+    now.now = this->clock();
+    now.now_unix_ms = now_unix_ms;
+    this->forget_ended_runs();
+    this->release_lost(now);
+    this->stop_stalled(now);
+    this->picture_rooms(now);
+    now.guaranteed = this->guaranteed_jobs();
+    std::vector<candidate> waiting = this->candidates(now);
+    const auto key = [](const candidate& each) {
+        return std::make_tuple(each.rank, each.lateness, each.job->priority,
+                               each.objective_unix_ms);
+    };
+    std::stable_sort(waiting.begin(), waiting.end(),
+                     [&key](const candidate& left, const candidate& right) {
+                         return is_ordered_before(key(left), key(right));
+                     });
+    for (const candidate& each : waiting) {
+        this->place(now, each);
+    }
+    return std::move(now.result);
+}
+
+void scheduler::forget_ended_runs()
+{
+    const auto is_over = [this](const run_id& run) {
+        const task_record* const task = this->state.find(run.task);
+        return task == nullptr || task->phase != task_phase::assigned ||
+               task->last_run != run.number;
+    };
+    std::erase_if(this->runs, [&is_over](const auto& each) { return is_over(each.first); });
+    std::erase_if(this->evicting, [&is_over](const auto& each) { return is_over(each.first); });
+    std::erase_if(this->failed_on, [this](const auto& each) {
+        return this->state.find(each.first) == nullptr;
+    });
+    std::erase_if(this->reservations, [this](const auto& each) {
+        return this->state.find(each.first) == nullptr;
+    });
+    const steady_time now = this->clock();
+    std::erase_if(this->workers, [this, now](const auto& each) {
+        return (each.second.ended || each.second.grant_until + std::chrono::seconds(60) < now) &&
+               this->state.runs_on(each.first).empty();
+    });
+}
+
+void scheduler::release_lost(round& now)
+{
+    for (const auto& [worker, on_worker] : this->state.assigned_runs()) {
+        const auto known = this->workers.find(worker);
+        steady_time over = this->leading_since + this->options.grant_life;
+        if (known != this->workers.end()) {
+            over = known->second.ended ? steady_time() : std::max(over, known->second.grant_until);
+        }
+        const bool ended = known != this->workers.end() && known->second.ended;
+        if (!ended && now.now < over + this->options.grant_margin) {
+            continue;
+        }
+        for (const run_id& run : on_worker) {
+            const auto progress = this->runs.find(run);
+            now.result.releases.push_back(
+                {run, progress == this->runs.end() ? "" : progress->second.checkpoint});
+        }
+    }
+}
+
+void scheduler::stop_stalled(round& now)
+{
+    constexpr std::uint32_t finished_percent = 100;
+    for (const auto& [run, progress] : this->runs) {
+        if (!progress.listed || progress.percent >= finished_percent ||
+            this->evicting.contains(run) ||
+            now.now < progress.last_progress + this->options.stall_limit) {
+            continue;
+        }
+        const job_record* const job = this->state.find(run.task.job);
+        if (job == nullptr || job->definition.steps[run.task.step].lasting) {
+            continue;
+        }
+        const task_record* const task = this->state.find(run.task);
+        known_worker& on = this->workers[task->worker];
+        if (now.now > on.grant_until) {
+            continue;
+        }
+        on.failures_in_row = std::max(on.failures_in_row, failures_before_suspicion);
+        on.suspect_until = now.now + this->options.suspicion * 2;
+        this->failed_on[run.task].insert(task->worker.id);
+        this->evicting.emplace(run, "no progress");
+        now.result.evictions.push_back({run, "no progress"});
+    }
+}
+
+void scheduler::picture_rooms(round& now) const
+{
+    std::size_t suspects = 0;
+    for (const auto& [incarnation, known] : this->workers) {
+        if (known.ended || known.grant_until < now.now) {
+            continue;
+        }
+        worker_room room;
+        room.rack = known.description.rack;
+        room.capacity = known.description.capacity;
+        room.room = room.capacity;
+        room.suspect = known.suspect_until > now.now;
+        suspects += room.suspect ? 1 : 0;
+        for (const run_id& run : this->state.runs_on(incarnation)) {
+            const job_record* const job = this->state.find(run.task.job);
+            const step_definition& step = job->definition.steps[run.task.step];
+            room.room -= step.each;
+            if (step.filler) {
+                room.room.cpu_millis += step.each.cpu_millis;
+            }
+        }
+        now.ids.push_back(incarnation);
+        now.rooms.push_back(room);
+    }
+    now.avoid_suspects = suspects * workers_per_suspect <= now.rooms.size();
+}
+
+std::set<std::string> scheduler::guaranteed_jobs() const
+{
+    std::map<std::string, std::vector<std::pair<std::int64_t, const std::string*>>> by_account;
+    for (const auto& [id, job] : this->state.jobs()) {
+        if (!job.ended() && job.priority == 0) {
+            by_account[job.account].emplace_back(job.submitted_unix_ms, &id);
+        }
+    }
+    std::set<std::string> within;
+    for (const account_definition& account : this->state.configuration().accounts) {
+        std::vector<std::pair<std::int64_t, const std::string*>>& own = by_account[account.name];
+        std::sort(own.begin(), own.end(), [](const auto& left, const auto& right) {
+            return std::tie(left.first, *left.second) < std::tie(right.first, *right.second);
+        });
+        std::int64_t needed = 0;
+        for (const auto& [submitted, id] : own) {
+            needed += widest_step_accelerators(this->state.find(*id)->definition);
+            if (needed > account.guaranteed_accelerators) {
+                break;
+            }
+            within.insert(*id);
+        }
+    }
+    return within;
+}
+
+std::vector<scheduler::candidate> scheduler::candidates(const round& now) const
+{
+    std::vector<candidate> found;
+    for (const auto& [id, job] : this->state.jobs()) {
+        if (job.ended()) {
+            continue;
+        }
+        const std::int64_t chain = longest_chain_ms(job.definition);
+        const std::int64_t allowed =
+            static_cast<std::int64_t>(job.stretch * static_cast<double>(chain)) +
+            job.latency_target_ms;
+        for (const auto& [number, occurrence] : job.open) {
+            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                const step_record& record = occurrence.steps[step];
+                const step_definition& definition = job.definition.steps[step];
+                const bool gang_is_running = definition.gang && record.assigned > 0;
+                if (record.done + record.assigned == record.tasks.size() || gang_is_running ||
+                    !is_ready(job.definition, occurrence, step)) {
+                    continue;
+                }
+                candidate next;
+                next.job_id = &id;
+                next.job = &job;
+                next.occurrence = number;
+                next.step = step;
+                for (std::uint32_t index = 0; index < record.tasks.size(); ++index) {
+                    if (record.tasks[index].phase == task_phase::waiting) {
+                        next.waiting.push_back(index);
+                    }
+                }
+                next.waiting_since_unix_ms = occurrence.due_unix_ms;
+                next.objective_unix_ms = occurrence.due_unix_ms + allowed;
+                const std::int64_t late_by = now.now_unix_ms + chain - next.objective_unix_ms;
+                next.lateness =
+                    late_by <= 0 ? 0 : late_by < (worthless_after_objectives - 1) * allowed ? 1 : 2;
+                if (job.priority == 0) {
+                    next.rank =
+                        now.guaranteed.contains(id) ? urgency::guaranteed : urgency::urgent;
+                }
+                found.push_back(std::move(next));
+            }
+        }
+    }
+    return found;
+}
+
+void scheduler::mark_eligible(round& now, const candidate& next) const
+{
+    const step_definition& step = next.definition();
+    std::set<std::string> failed;
+    for (const std::uint32_t index : next.waiting) {
+        task_id id = next.id();
+        id.index = index;
+        const auto found = this->failed_on.find(id);
+        if (found != this->failed_on.end()) {
+            failed.insert(found->second.begin(), found->second.end());
+        }
+    }
+    const step_record& record = next.job->open.at(next.occurrence).steps[next.step];
+    for (std::size_t each = 0; each < now.rooms.size(); ++each) {
+        const known_worker& known = this->workers.at(now.ids[each]);
+        const worker_description& worker = known.description;
+        worker_room& room = now.rooms[each];
+        const bool labelled =
+            step.required_label.empty() ||
+            std::find(worker.labels.begin(), worker.labels.end(), step.required_label) !=
+                worker.labels.end();
+        const bool suspected = known.suspect_until > now.now;
+        room.eligible = worker.service == next.job->service && labelled && !worker.draining &&
+                        known.refused_until <= now.now &&
+                        !this->state.evacuated().contains(worker.data_centre) &&
+                        !(suspected && now.avoid_suspects);
+        room.suspect = suspected || failed.contains(now.ids[each].id);
+        room.same_step = static_cast<std::uint32_t>(
+            std::count_if(record.tasks.begin(), record.tasks.end(),
+                          [&id = now.ids[each]](const task_record& task) {
+                              return task.phase == task_phase::assigned && task.worker == id;
+                          }));
+    }
+}
+
+void scheduler::assign(round& now, const candidate& next, const std::vector<std::size_t>& places)
+{
+    const step_definition& step = next.definition();
+    const step_record& record = next.job->open.at(next.occurrence).steps[next.step];
+    std::uint32_t gang_run = 0;
+    for (const task_record& task : record.tasks) {
+        gang_run = std::max(gang_run, task.last_run);
+    }
+    assign_runs command;
+    command.now_unix_ms = now.now_unix_ms;
+    for (std::size_t each = 0; each < places.size(); ++each) {
+        task_id id = next.id();
+        id.index = next.waiting[each];
+        const std::uint32_t number =
+            (step.gang ? gang_run : record.tasks[id.index].last_run) + 1;
+        command.runs.push_back({{id, number}, now.ids[places[each]]});
+        this->runs[{id, number}].since = now.now;
+        this->runs[{id, number}].last_progress = now.now;
+        resources& room = now.rooms[places[each]].room;
+        room -= step.each;
+        if (step.filler) {
+            room.cpu_millis += step.each.cpu_millis;
+        }
+    }
+    now.result.assignments.push_back(std::move(command));
+}
+
+} // namespace redwingwheel::jobs
--- /dev/null
+++ b/src/libjobs/scheduler_eviction.cpp
@@ -0,0 +1,214 @@
+#include "redwingwheel/scheduler.h"
+
+#include <limits>
+
+#include "scheduler_round.h"
+
+/// Placing a step, if need be by the eviction of less urgent runs.
+namespace redwingwheel::jobs {
+
+namespace {
+
+/// An accelerator counts as this many cores when lost work is compared.
+constexpr double cores_per_accelerator = 8.0;
+/// Work lost by evicting a run that resumes from a checkpoint, in seconds of its resources.
+constexpr double resume_cost_s = 0.3;
+
+double weight_of(const resources& each)
+{
+    constexpr double millis_per_core = 1000.0;
+    return static_cast<double>(each.cpu_millis) / millis_per_core +
+           static_cast<double>(each.accelerators) * cores_per_accelerator;
+}
+
+} // namespace
+
+void scheduler::place(round& now, const candidate& next)
+{
+    this->mark_eligible(now, next);
+    placement_request request;
+    request.step = &next.definition();
+    request.tasks = static_cast<std::uint32_t>(next.waiting.size());
+    const milliseconds waited(now.now_unix_ms - next.waiting_since_unix_ms);
+    request.any_rack =
+        !fits_when_empty(request, now.rooms) ||
+        (next.rank == urgency::guaranteed && waited >= this->options.rack_patience);
+    request.away_from_data =
+        !fits_when_empty(request, now.rooms) ||
+        waited >= milliseconds(std::max<std::int64_t>(next.definition().estimate_ms, 1000)) ||
+        next.rank == urgency::guaranteed;
+    const std::vector<std::size_t> places = find_places(request, now.rooms);
+    if (!places.empty()) {
+        this->assign(now, next, places);
+    }
+    if (places.size() == next.waiting.size()) {
+        this->reservations.erase(next.id());
+        return;
+    }
+    if (next.rank == urgency::guaranteed) {
+        this->hold_reservation(now, next, request);
+    }
+}
+
+/// Keeps what is being freed for the step out of the reach of those that come later in the round.
+void scheduler::hold_reservation(round& now, const candidate& next,
+                                 const placement_request& request)
+{
+    const auto held = this->reservations.find(next.id());
+    if (held != this->reservations.end() &&
+        now.now < held->second.made + this->options.reservation_life) {
+        for (const worker_incarnation& worker : held->second.places) {
+            const auto place = std::find(now.ids.begin(), now.ids.end(), worker);
+            if (place != now.ids.end()) {
+                now.rooms[static_cast<std::size_t>(place - now.ids.begin())].room -=
+                    held->second.each;
+            }
+        }
+        return;
+    }
+    this->reservations.erase(next.id());
+    this->reserve_by_eviction(now, next, request);
+}
+
+std::vector<scheduler::victim> scheduler::victims(const round& now) const
+{
+    std::map<std::tuple<std::string, std::uint32_t, std::uint32_t, std::uint32_t>, victim> units;
+    for (std::size_t each = 0; each < now.ids.size(); ++each) {
+        for (const run_id& run : this->state.runs_on(now.ids[each])) {
+            const job_record* const job = this->state.find(run.task.job);
+            const step_definition& step = job->definition.steps[run.task.step];
+            if (job->priority == 0 || step.lasting) {
+                continue;
+            }
+            const std::uint32_t index = step.gang ? 0 : run.task.index;
+            victim& unit = units[{run.task.job, run.task.occurrence, run.task.step, index}];
+            unit.runs.push_back(run);
+            unit.places.push_back(each);
+            unit.each = step.each;
+            const bool leaving = this->evicting.contains(run) || job->ended();
+            const auto known = this->runs.find(run);
+            const double seconds =
+                known == this->runs.end()
+                    ? 0.0
+                    : std::chrono::duration<double>(now.now - known->second.since).count();
+            unit.cost += leaving ? 0.0
+                                 : weight_of(step.each) * (step.resumable ? resume_cost_s : seconds);
+        }
+    }
+    std::vector<victim> found;
+    for (auto& [key, unit] : units) {
+        found.push_back(std::move(unit));
+    }
+    std::sort(found.begin(), found.end(), [](const victim& left, const victim& right) {
+        const auto per_accelerator = [](const victim& of) {
+            const double freed = static_cast<double>(of.runs.size()) * weight_of(of.each);
+            return of.cost / std::max(freed, 0.001);
+        };
+        return per_accelerator(left) < per_accelerator(right);
+    });
+    return found;
+}
+
+/// The cheapest set of victims that makes room, as a set of positions in `possible`; empty when
+/// there is none.
+std::optional<scheduler::eviction_plan>
+scheduler::plan_eviction(const round& now, const placement_request& request,
+                         const std::vector<victim>& possible)
+{
+    std::vector<worker_room> rooms = now.rooms;
+    const auto free = [&rooms](const victim& unit, int sign) {
+        for (const std::size_t place : unit.places) {
+            if (sign > 0) {
+                rooms[place].room += unit.each;
+            }
+            else {
+                rooms[place].room -= unit.each;
+            }
+        }
+    };
+    eviction_plan plan;
+    for (std::size_t each = 0; each < possible.size(); ++each) {
+        free(possible[each], 1);
+        plan.victims.push_back(each);
+        plan.places = find_places(request, rooms);
+        if (plan.places.size() == request.tasks) {
+            break;
+        }
+    }
+    if (plan.places.size() < request.tasks) {
+        return std::nullopt;
+    }
+    // Spares those that turn out not to be needed, the dearest first.
+    for (std::size_t kept = plan.victims.size(); kept > 0; --kept) {
+        const victim& unit = possible[plan.victims[kept - 1]];
+        free(unit, -1);
+        std::vector<std::size_t> places = find_places(request, rooms);
+        if (places.size() == request.tasks) {
+            plan.places = std::move(places);
+            plan.victims.erase(plan.victims.begin() + static_cast<std::ptrdiff_t>(kept - 1));
+        }
+        else {
+            free(unit, 1);
+        }
+    }
+    for (const std::size_t each : plan.victims) {
+        plan.cost += possible[each].cost;
+    }
+    return plan;
+}
+
+void scheduler::reserve_by_eviction(round& now, const candidate& next,
+                                    const placement_request& request)
+{
+    const std::vector<victim> possible = this->victims(now);
+    std::optional<eviction_plan> best;
+    std::set<std::string> racks;
+    if (request.step->same_rack && !request.any_rack) {
+        for (const worker_room& each : now.rooms) {
+            racks.insert(each.rack);
+        }
+    }
+    else {
+        racks.insert("");
+    }
+    for (const std::string& rack : racks) {
+        std::vector<victim> in_rack;
+        for (const victim& unit : possible) {
+            const bool touches = std::any_of(
+                unit.places.begin(), unit.places.end(), [&now, &rack](std::size_t place) {
+                    return rack.empty() || now.rooms[place].rack == rack;
+                });
+            if (touches) {
+                in_rack.push_back(unit);
+            }
+        }
+        std::optional<eviction_plan> plan = plan_eviction(now, request, in_rack);
+        if (plan.has_value() && (!best.has_value() || plan->cost < best->cost)) {
+            best = std::move(plan);
+            best->units.clear();
+            for (const std::size_t each : best->victims) {
+                best->units.push_back(in_rack[each]);
+            }
+        }
+    }
+    if (!best.has_value()) {
+        return;
+    }
+    reservation made;
+    made.made = now.now;
+    made.each = request.step->each;
+    for (const std::size_t place : best->places) {
+        made.places.push_back(now.ids[place]);
+        now.rooms[place].room -= request.step->each;
+    }
+    this->reservations[next.id()] = std::move(made);
+    for (const victim& unit : best->units) {
+        for (const run_id& run : unit.runs) {
+            if (this->evicting.emplace(run, *next.job_id).second) {
+                now.result.evictions.push_back({run, *next.job_id});
+            }
+        }
+    }
+}
+
+} // namespace redwingwheel::jobs
--- a/src/libkernel/control_loop.cpp
+++ b/src/libkernel/control_loop.cpp
@@ -4,7 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include "redwingwheel/boot_timer.h"
 
 namespace redwingwheel::kernel {
 
@@ -48,7 +48,7 @@
 
 void control_loop::run_at(steady_time deadline, task work)
 {
-    const auto timer = std::make_shared<asio::steady_timer>(this->impl->context, deadline);
+    const auto timer = std::make_shared<redwingwheel::boot_timer>(this->impl->context, deadline);
     timer->async_wait([timer, work = std::move(work)](const boost::system::error_code& error) {
         if (!error) {
             work();
@@ -58,7 +58,7 @@
 
 void control_loop::run_every(milliseconds period, task work)
 {
-    this->run_at(std::chrono::steady_clock::now() + period,
+    this->run_at(boot_clock::now() + period,
                  [this, period, work = std::move(work)]() mutable {
                      work();
                      this->run_every(period, std::move(work));
--- a/src/libkernel/kernel.cpp
+++ b/src/libkernel/kernel.cpp
@@ -42,7 +42,7 @@
         if (!status.ok()) {
             spdlog::error("event=service_start_failed service={} error=\"{}\"", next->name(),
                           status.ToString());
-            this->drain_and_stop(std::chrono::steady_clock::now());
+            this->drain_and_stop(boot_clock::now());
             return status;
         }
         ++this->started;
--- a/src/libwire/connection.cpp
+++ b/src/libwire/connection.cpp
@@ -39,7 +39,7 @@
 {
     this->callbacks = std::move(functions);
     this->opened = true;
-    const steady_time now = std::chrono::steady_clock::now();
+    const steady_time now = boot_clock::now();
     this->probe_deadline = now + this->options.probe_after;
     this->silence_deadline = now + this->options.abandon_after;
     this->read_header();
@@ -140,7 +140,7 @@
         this->close(close_reason::bad_frame);
         return;
     }
-    const steady_time now = std::chrono::steady_clock::now();
+    const steady_time now = boot_clock::now();
     this->probe_deadline = now + this->options.probe_after;
     this->silence_deadline = now + this->options.abandon_after;
     if (received->type == frame_type::probe) {
@@ -191,7 +191,7 @@
 
 void connection::on_silence_timer()
 {
-    const steady_time now = std::chrono::steady_clock::now();
+    const steady_time now = boot_clock::now();
     if (now >= this->silence_deadline) {
         spdlog::warn("event=connection_abandoned reason=silent");
         this->close(close_reason::silent);
--- a/src/libwire/connection.h
+++ b/src/libwire/connection.h
@@ -8,7 +8,7 @@
 #include <string>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include "redwingwheel/boot_timer.h"
 
 #include "redwingwheel/rpc.h"
 
@@ -78,7 +78,7 @@
     bool writing = false;
     steady_time probe_deadline;
     steady_time silence_deadline;
-    boost::asio::steady_timer timer;
+    redwingwheel::boot_timer timer;
     std::array<char, frame_header_bytes> header{};
     std::string payload;
     std::deque<outgoing_frame> queue;
--- a/src/redwingwheel-bench-control/agent_fleet.cpp
+++ b/src/redwingwheel-bench-control/agent_fleet.cpp
@@ -48,7 +48,7 @@
     }
 
     messages::worker_announcement announcement;
-    boost::asio::steady_timer timer;
+    redwingwheel::boot_timer timer;
     wire::rpc_client client;
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
@@ -98,7 +98,7 @@
     }
     of.client.call(
         static_cast<std::uint16_t>(messages::kind::agent_poll), pack(message),
-        std::chrono::steady_clock::now() + poll_patience,
+        boot_clock::now() + poll_patience,
         [this, &of](const absl::StatusOr<std::string>& body) { this->on_answer(of, body); });
 }
 
@@ -120,7 +120,7 @@
         return;
     }
     ++this->answered;
-    of.answered_at = std::chrono::steady_clock::now();
+    of.answered_at = boot_clock::now();
     of.announce = answer->want_announcement;
     of.permitted = of.permitted || !answer->granted.data_centre.empty();
     bool again = false;
--- a/src/redwingwheel-bench-control/agent_fleet.h
+++ b/src/redwingwheel-bench-control/agent_fleet.h
@@ -5,7 +5,7 @@
 #include <random>
 #include <vector>
 
-#include <boost/asio/steady_timer.hpp>
+#include "redwingwheel/boot_timer.h"
 
 #include "control_under_test.h"
 
--- a/src/redwingwheel-bench-control/call_load.cpp
+++ b/src/redwingwheel-bench-control/call_load.cpp
@@ -83,7 +83,7 @@
                           std::function<void(absl::StatusOr<std::string>)> done)
 {
     this->client.call(static_cast<std::uint16_t>(kind), std::move(body),
-                      std::chrono::steady_clock::now() + call_patience,
+                      boot_clock::now() + call_patience,
                       [done = std::move(done)](const absl::StatusOr<std::string>& reply_body) {
                           if (!reply_body.ok()) {
                               done(reply_body.status());
@@ -137,7 +137,7 @@
 control_caller::claim_counts control_caller::run_claims(milliseconds length, std::size_t at_once)
 {
     const std::shared_ptr<claim_run> run = std::make_shared<claim_run>();
-    run->deadline = std::chrono::steady_clock::now() + length;
+    run->deadline = boot_clock::now() + length;
     run->open = at_once;
     boost::asio::post(this->traffic.context(), [this, run, at_once] {
         for (std::size_t started = 0; started < at_once; ++started) {
@@ -149,7 +149,7 @@
 
 void control_caller::begin_claim(const std::shared_ptr<claim_run>& run)
 {
-    if (std::chrono::steady_clock::now() >= run->deadline) {
+    if (boot_clock::now() >= run->deadline) {
         if (--run->open == 0) {
             run->result.set_value(run->counts);
         }
--- a/src/redwingwheel-bench-control/control_under_test.cpp
+++ b/src/redwingwheel-bench-control/control_under_test.cpp
@@ -75,9 +75,9 @@
     if (!started.ok()) {
         return started;
     }
-    const steady_time deadline = std::chrono::steady_clock::now() + leadership_patience;
+    const steady_time deadline = boot_clock::now() + leadership_patience;
     while (!this->service->read_gauges().leads) {
-        if (std::chrono::steady_clock::now() > deadline) {
+        if (boot_clock::now() > deadline) {
             return absl::DeadlineExceededError("the replica does not lead");
         }
         std::this_thread::sleep_for(leadership_check_period);
@@ -100,7 +100,7 @@
 {
     const control_service::gauges gauges = this->service->read_gauges();
     cost_sample taken;
-    taken.at = std::chrono::steady_clock::now();
+    taken.at = boot_clock::now();
     taken.control_thread_s = read_clock(this->control_clock);
     taken.traffic_thread_s = read_clock(this->traffic_clock);
     taken.process_s = read_clock(CLOCK_PROCESS_CPUTIME_ID);
--- a/src/redwingwheel-bench-control/rebuild.cpp
+++ b/src/redwingwheel-bench-control/rebuild.cpp
@@ -28,7 +28,7 @@
 
 double elapsed_us(steady_time since)
 {
-    return std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - since)
+    return std::chrono::duration<double, std::micro>(boot_clock::now() - since)
         .count();
 }
 
@@ -151,7 +151,7 @@
 double time_polls(controller& leader, std::vector<messages::agent_poll>& polls,
                   std::uint64_t sequence)
 {
-    const steady_time start = std::chrono::steady_clock::now();
+    const steady_time start = boot_clock::now();
     for (messages::agent_poll& each : polls) {
         each.sequence = sequence;
         const std::optional<messages::agent_poll_answer> answer = leader.poll(each);
@@ -164,7 +164,7 @@
 {
     std::array<double, ticks_timed> times{};
     for (double& each : times) {
-        const steady_time start = std::chrono::steady_clock::now();
+        const steady_time start = boot_clock::now();
         leader.tick();
         each = elapsed_us(start);
     }
@@ -183,7 +183,7 @@
     controller leader({}, system_clock_function(), state, hooks);
     std::array<double, rebuild_runs> begin_ms{};
     for (std::size_t run = 0; run < rebuild_runs; ++run) {
-        const steady_time start = std::chrono::steady_clock::now();
+        const steady_time start = boot_clock::now();
         leader.begin_leadership(run + 1);
         begin_ms[run] = elapsed_us(start) / 1000.0;
     }
@@ -229,7 +229,7 @@
         builder.run_job(index, workers);
     }
     cost.state_bytes = heap_bytes() - heap_before;
-    const steady_time start = std::chrono::steady_clock::now();
+    const steady_time start = boot_clock::now();
     cost.snapshot_bytes = state.pack_snapshot().size();
     cost.snapshot_ms = elapsed_us(start) / 1000.0;
     cost.catch_up_bytes = pack(state.configuration().catch_up_after(0)).size();
--- a/src/redwingwheel-bench-replication/bench_group.cpp
+++ b/src/redwingwheel-bench-replication/bench_group.cpp
@@ -66,9 +66,9 @@
             return status;
         }
     }
-    const steady_time give_up = std::chrono::steady_clock::now() + longest_start;
+    const steady_time give_up = boot_clock::now() + longest_start;
     while (!this->leader().log->leads()) {
-        if (std::chrono::steady_clock::now() > give_up) {
+        if (boot_clock::now() > give_up) {
             return make_error(replication_errc::not_leader, "no leader in time");
         }
         for (node& next : this->nodes) {
--- a/src/redwingwheel-load/load_run.cpp
+++ b/src/redwingwheel-load/load_run.cpp
@@ -89,12 +89,12 @@
         const std::vector<arrival> schedule =
             make_schedule(this->settings.mix, this->settings.warm_up_s + this->settings.seconds,
                           this->settings.seed);
-        this->started_at = std::chrono::steady_clock::now();
+        this->started_at = boot_clock::now();
         for (const arrival& each : schedule) {
             std::this_thread::sleep_until(this->started_at + each.offset);
             this->send(each);
         }
-        this->answers.wait_for_answers(std::chrono::steady_clock::now() + this->settings.deadline +
+        this->answers.wait_for_answers(boot_clock::now() + this->settings.deadline +
                                        2 * answer_grace);
         // Ending the client completes whatever is open, as lost.
         this->client.reset();
@@ -137,11 +137,11 @@
         const std::size_t length = body.size();
         const std::uint64_t digest = digest::content_hash(body);
         const steady_time intended = this->started_at + of.offset;
-        this->answers.note_sent(as_ms(std::chrono::steady_clock::now() - intended));
+        this->answers.note_sent(as_ms(boot_clock::now() - intended));
         this->client->send(
             this->make_request(of, std::move(body)),
             [this, of, length, digest, intended](absl::StatusOr<http::client_response> answer) {
-                const double latency_ms = as_ms(std::chrono::steady_clock::now() - intended);
+                const double latency_ms = as_ms(boot_clock::now() - intended);
                 const request_result result = classify(answer);
                 const bool right =
                     result == request_result::done && answer_matches(answer->body, length, digest);
--- a/src/redwingwheeld/daemon.cpp
+++ b/src/redwingwheeld/daemon.cpp
@@ -44,7 +44,7 @@
 
 void process::drain_and_stop()
 {
-    this->services.drain_and_stop(std::chrono::steady_clock::now() + this->settings.timing.drain);
+    this->services.drain_and_stop(boot_clock::now() + this->settings.timing.drain);
 }
 
 } // namespace redwingwheel::daemon
--- a/src/testing/backend_stand_in.cpp
+++ b/src/testing/backend_stand_in.cpp
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include "redwingwheel/boot_timer.h"
 #include <fmt/format.h>
 #include <pistache/endpoint.h>
 #include <pistache/peer.h>
@@ -153,7 +153,7 @@
             return;
         }
         const auto timer =
-            std::make_shared<asio::steady_timer>(this->state->timers, faults.die ? work / 2 : work);
+            std::make_shared<redwingwheel::boot_timer>(this->state->timers, faults.die ? work / 2 : work);
         timer->async_wait([self = *this, timer, response, body,
                            faults](const boost::system::error_code&) mutable {
             if (faults.die) {
--- a/src/testing/tcp_relay_stand_in.cpp
+++ b/src/testing/tcp_relay_stand_in.cpp
@@ -77,7 +77,7 @@
 
 private:
     struct chunk {
-        std::chrono::steady_clock::time_point due;
+        steady_time due;
         std::string bytes;
     };
 
@@ -91,7 +91,7 @@
         this->lost = this->lost || this->drop || this->silent;
         if (!this->lost) {
             // An empty chunk stands for the end of the stream.
-            const auto due = std::chrono::steady_clock::now() + this->settings.next_delay();
+            const auto due = boot_clock::now() + this->settings.next_delay();
             this->last_due = std::max(this->last_due, due);
             this->queue.push_back({this->last_due, std::string(this->buffer.data(), size)});
             this->queued += size;
@@ -154,7 +154,7 @@
 
     tcp::socket& from;
     tcp::socket& to;
-    asio::steady_timer timer;
+    redwingwheel::boot_timer timer;
     link_settings& settings;
     const bool& drop;
     const bool& silent;
@@ -162,7 +162,7 @@
     std::array<char, chunk_bytes> buffer{};
     std::deque<chunk> queue;
     std::size_t queued = 0;
-    std::chrono::steady_clock::time_point last_due{};
+    steady_time last_due{};
     bool lost = false;
     bool reading = false;
     bool writing = false;
@@ -424,7 +424,7 @@
     asio::io_context context(1);
     asio::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([&context](const boost::system::error_code&, int) { context.stop(); });
-    asio::steady_timer lifetime(context, std::chrono::seconds(chosen.lifetime_s));
+    redwingwheel::boot_timer lifetime(context, std::chrono::seconds(chosen.lifetime_s));
     lifetime.async_wait([&context](const boost::system::error_code&) { context.stop(); });
     link_settings settings;
     settings.delay = milliseconds(chosen.delay_ms);
