--- /dev/null
+++ b/src/include/redwingwheel/job_messages.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <msgpack.hpp>
+
+#include "redwingwheel/job_state.h"
+#include "redwingwheel/scheduler.h"
+
+/// What supervisors and gateways say to the leader. Times are remaining milliseconds.
+namespace redwingwheel::messages {
+
+/// A start that did not happen and never will.
+struct refused_start {
+    jobs::run_id run;
+    std::string reason;
+    MSGPACK_DEFINE(run, reason)
+};
+
+/// Supervisor to leader. The leader answers when it has news for the worker, or after a while.
+struct worker_poll {
+    std::string supervisor;
+    /// Rises with every poll of a supervisor's process.
+    std::uint64_t sequence = 0;
+    jobs::worker_description worker;
+    std::vector<jobs::run_progress> running;
+    /// Ends that the leader has not recorded, as far as the supervisor knows.
+    std::vector<jobs::listed_end> ends;
+    std::vector<refused_start> refused;
+    /// Incarnations of this supervisor's worker that are over.
+    std::vector<jobs::worker_incarnation> ended;
+    /// Digest of the orders in the last answer.
+    std::uint64_t orders_digest = 0;
+    MSGPACK_DEFINE(supervisor, sequence, worker, running, ends, refused, ended, orders_digest)
+};
+
+struct start_order {
+    jobs::run_id run;
+    std::string payload;
+    std::string checkpoint;
+    MSGPACK_DEFINE(run, payload, checkpoint)
+};
+
+struct worker_poll_answer {
+    /// Term of the leader; fences orders of earlier leaders at the worker.
+    std::uint64_t term = 0;
+    /// Life of the permit, counted from when the poll was sent.
+    std::uint64_t permit_ms = 0;
+    /// Number of the last end of the worker that is recorded.
+    std::uint64_t recorded_ends = 0;
+    /// All runs that are to go on; any other run is to be stopped.
+    std::vector<jobs::run_id> wanted;
+    /// Those of them that the worker has not listed yet.
+    std::vector<start_order> starts;
+    std::uint64_t orders_digest = 0;
+    MSGPACK_DEFINE(term, permit_ms, recorded_ends, wanted, starts, orders_digest)
+};
+
+enum class job_operation : std::uint8_t {
+    submit,
+    cancel,
+    status,
+    count_pending,
+    install_configuration,
+    read_configuration,
+    evacuate,
+    restore,
+};
+
+/// Gateway to leader.
+struct job_call {
+    job_operation operation = job_operation::status;
+    std::string host;
+    std::string path;
+    /// The caller's key; unknown keys are refused unless the queue is open.
+    std::string key;
+    std::string job;
+    jobs::job_definition definition;
+    jobs::catalogue configuration;
+    std::string data_centre;
+    MSGPACK_DEFINE(operation, host, path, key, job, definition, configuration, data_centre)
+};
+
+struct job_answer {
+    jobs::job_verdict verdict = jobs::job_verdict::stale;
+    jobs::job_status status = jobs::job_status::queued;
+    std::uint64_t pending = 0;
+    /// The configuration as it was sent.
+    std::string document;
+    MSGPACK_DEFINE(verdict, status, pending, document)
+};
+
+} // namespace redwingwheel::messages
+
+MSGPACK_ADD_ENUM(redwingwheel::messages::job_operation)
+MSGPACK_ADD_ENUM(redwingwheel::jobs::job_verdict)
--- a/src/include/redwingwheel/leader_client.h
+++ b/src/include/redwingwheel/leader_client.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -38,6 +39,21 @@
     /// `replicas` are addresses from the settings; never empty.
     leader_client(kernel::control_loop& control_loop, kernel::traffic_loop& traffic,
                   std::span<const std::string> replicas, std::string_view secret);
+
+    /// Adds addresses that were not known.
+    void learn(std::span<const std::string> addresses);
+
+    /// Directs the next calls to `address`. An older term than the last one given is ignored.
+    void follow(std::string_view address, std::uint64_t term);
+
+    /// Sends `body` to every known address; `done` runs on the control thread for each answer.
+    void broadcast(messages::kind kind, const std::string& body, steady_time deadline,
+                   const std::function<void(const std::string& address, std::string body)>& done);
+
+    [[nodiscard]] std::vector<std::string> known_addresses() const;
+
+    /// True when a leader answered a call and none has failed since.
+    [[nodiscard]] bool in_touch() const { return this->touched; }
     ~leader_client();
     leader_client(const leader_client&) = delete;
     leader_client& operator=(const leader_client&) = delete;
@@ -58,7 +74,13 @@
     void move_on(std::size_t from);
     void believe(std::string_view address, std::size_t from);
 
+    [[nodiscard]] std::optional<std::size_t> place_of(std::string_view address) const;
+
     kernel::control_loop& loop;
+    kernel::traffic_loop& traffic;
+    std::string secret;
+    bool touched = false;
+    std::uint64_t followed_term = 0;
     std::vector<std::unique_ptr<wire::rpc_client>> replicas;
     std::size_t believed = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/include/redwingwheel/messages.h
+++ b/src/include/redwingwheel/messages.h
@@ -29,6 +29,10 @@
     formation,
     join,
     look_up_claim,
+    hello,
+    found_group,
+    worker_poll,
+    job_call,
 };
 
 /// A worker as its agent announces it.
--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -78,9 +78,12 @@
     /// Forgets all reports. Grants of an earlier leader may last until `grant_life` from now.
     void begin_leadership();
 
-    /// Takes a worker's report. The grant that answers it counts from now.
+    /// Takes a worker's report.
     void report(const worker_description& worker, const std::vector<run_progress>& running);
 
+    /// A grant is being sent to the worker's supervisor.
+    void grant(const worker_incarnation& worker);
+
     /// The worker's incarnation is over: nothing runs on it any more.
     void worker_ended(const worker_incarnation& worker);
 
@@ -99,8 +102,8 @@
     /// True when the worker has listed the run since it was given to it.
     [[nodiscard]] bool confirmed(const run_id& run) const;
 
-    /// True when at least one worker of the service has reported.
     [[nodiscard]] std::size_t worker_count() const { return this->workers.size(); }
+    [[nodiscard]] const scheduler_options& limits() const { return this->options; }
 
 private:
     struct known_worker {
@@ -142,6 +145,7 @@
     void forget_ended_runs();
     void release_lost(round& now);
     void stop_stalled(round& now);
+    void stop_broken_gangs(round& now);
     void picture_rooms(round& now) const;
     [[nodiscard]] std::vector<candidate> candidates(const round& now) const;
     [[nodiscard]] std::set<std::string> guaranteed_jobs() const;
--- a/src/include/redwingwheel/settings.h
+++ b/src/include/redwingwheel/settings.h
@@ -17,6 +17,8 @@
     bool entry = false;
     bool control = false;
     bool agent = false;
+    bool gateway = false;
+    bool supervisor = false;
 };
 
 struct log_settings {
@@ -62,6 +64,33 @@
     milliseconds drain{30000}; ///< Longest wait for work in progress at a planned stop.
 };
 
+/// Processes that find each other from seeds. Used by the roles gateway and supervisor.
+struct cluster_settings {
+    std::string listen;             ///< IP:port for other processes. Empty for a supervisor.
+    std::vector<std::string> seeds; ///< IP:port of processes that may know others; never empty.
+    std::uint16_t port = 0;         ///< Unless 0, takes the place of the port in each seed.
+    bool founding = false;          ///< Part of a new deployment: may found the group.
+    std::uint32_t tolerated_losses = 1; ///< Replicas that may be lost at once.
+};
+
+/// Serves callers and operators of jobs, and with a data folder is a replica.
+struct gateway_settings {
+    std::string listen;         ///< IP:port for callers.
+    std::string readiness;      ///< IP:port for the balancer's health checks.
+    std::string administration; ///< IP:port for operators.
+};
+
+/// Runs tasks on the worker beside it.
+struct supervisor_settings {
+    std::string listen; ///< IP:port where the worker announces itself.
+    std::string worker; ///< IP:port of the worker.
+    milliseconds lease{6000}; ///< Longest lease that the worker grants.
+};
+
+struct metrics_settings {
+    std::string listen; ///< IP:port of the metrics page; empty: none.
+};
+
 struct settings {
     std::string name; ///< Unique among the processes of a deployment.
     std::string region;
@@ -74,6 +103,10 @@
     entry_settings entry;
     agent_settings agent;
     timing_settings timing;
+    cluster_settings cluster;
+    gateway_settings gateway;
+    supervisor_settings supervisor;
+    metrics_settings metrics;
 };
 
 /// Reads and checks settings. `file_name` is used in messages only. Sections of roles that the
--- a/src/libclient/leader_client.cpp
+++ b/src/libclient/leader_client.cpp
@@ -49,18 +49,87 @@
     bool may_have_run = false;
 };
 
-leader_client::leader_client(kernel::control_loop& control_loop, kernel::traffic_loop& traffic,
-                             std::span<const std::string> addresses, std::string_view secret)
-    : loop(control_loop)
+leader_client::leader_client(kernel::control_loop& control_loop,
+                             kernel::traffic_loop& traffic_loop,
+                             std::span<const std::string> addresses,
+                             std::string_view cluster_secret)
+    : loop(control_loop), traffic(traffic_loop), secret(cluster_secret)
+{
+    this->learn(addresses);
+}
+
+void leader_client::learn(std::span<const std::string> addresses)
 {
     wire::rpc_options options;
     options.max_reconnect_wait = milliseconds(500);
     for (const std::string& each : addresses) {
-        this->replicas.push_back(std::make_unique<wire::rpc_client>(
-            traffic, wire::parse_address(each).value_or(wire::address()), secret, options));
+        const absl::StatusOr<wire::address> parsed = wire::parse_address(each);
+        if (!parsed.ok()) {
+            spdlog::warn("event=peer_ignored address={} reason=unreadable", each);
+            continue;
+        }
+        if (!this->place_of(each).has_value()) {
+            this->replicas.push_back(std::make_unique<wire::rpc_client>(this->traffic, *parsed,
+                                                                        this->secret, options));
+        }
+    }
+}
+
+std::optional<std::size_t> leader_client::place_of(std::string_view address) const
+{
+    for (std::size_t index = 0; index < this->replicas.size(); ++index) {
+        if (wire::to_string(this->replicas[index]->remote()) == address) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+void leader_client::follow(std::string_view address, std::uint64_t term)
+{
+    if (term < this->followed_term) {
+        return;
+    }
+    const std::string named(address);
+    this->learn(std::span(&named, 1));
+    const std::optional<std::size_t> place = this->place_of(address);
+    if (place.has_value()) {
+        this->followed_term = term;
+        this->believed = *place;
     }
 }
 
+void leader_client::broadcast(
+    messages::kind kind, const std::string& body, steady_time deadline,
+    const std::function<void(const std::string& address, std::string body)>& done)
+{
+    const std::shared_ptr<bool> still = this->alive;
+    kernel::control_loop& control = this->loop;
+    for (const std::unique_ptr<wire::rpc_client>& each : this->replicas) {
+        each->call(static_cast<std::uint16_t>(kind), body, deadline,
+                   [&control, still, done, address = wire::to_string(each->remote())](
+                       absl::StatusOr<std::string> reply) {
+                       if (!reply.ok()) {
+                           return;
+                       }
+                       control.post([still, done, address, reply = *std::move(reply)] {
+                           if (*still) {
+                               done(address, reply);
+                           }
+                       });
+                   });
+    }
+}
+
+std::vector<std::string> leader_client::known_addresses() const
+{
+    std::vector<std::string> known;
+    for (const std::unique_ptr<wire::rpc_client>& each : this->replicas) {
+        known.push_back(wire::to_string(each->remote()));
+    }
+    return known;
+}
+
 leader_client::~leader_client()
 {
     *this->alive = false;
@@ -88,6 +157,7 @@
                              const leader_done& done)
 {
     if (!body.ok()) {
+        this->touched = false;
         const std::optional<wire::wire_errc> code = error_code<wire::wire_errc>(body.status());
         if (code == wire::wire_errc::rejected) {
             done(translate_error(leader_errc::refused, body.status()));
@@ -104,21 +174,30 @@
         done(translate_error(leader_errc::unanswered, reply.status()));
         return;
     }
+    if (reply->result == messages::control_reply::verdict::unavailable) {
+        done(make_error(leader_errc::unanswered, "leadership was lost during the call"));
+        return;
+    }
     if (reply->result != messages::control_reply::verdict::served) {
+        this->touched = false;
         this->believe(reply->leader, target);
         done(make_error(leader_errc::no_leader, wire::to_string(this->replicas[target]->remote())));
         return;
     }
+    this->touched = true;
     done(std::move(reply->body));
 }
 
 void leader_client::believe(std::string_view address, std::size_t from)
 {
-    for (std::size_t index = 0; index < this->replicas.size(); ++index) {
-        if (wire::to_string(this->replicas[index]->remote()) == address) {
-            this->believed = index;
-            return;
-        }
+    const std::string named(address);
+    if (!named.empty()) {
+        this->learn(std::span(&named, 1));
+    }
+    const std::optional<std::size_t> place = this->place_of(address);
+    if (place.has_value()) {
+        this->believed = *place;
+        return;
     }
     this->move_on(from);
 }
--- /dev/null
+++ b/src/libcluster/group_service.cpp
@@ -0,0 +1,584 @@
+#include "redwingwheel/group_service.h"
+
+#include <algorithm>
+#include <random>
+
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+#include "redwingwheel/messages.h"
+#include "redwingwheel/packing.h"
+
+namespace redwingwheel::cluster {
+
+namespace {
+
+/// Four times per heartbeat of the replicated log at the least.
+constexpr milliseconds tick_period{25};
+/// Introductions until the process has found a leader, and from then on.
+constexpr milliseconds eager_introduction_period{150};
+constexpr milliseconds calm_introduction_period{2000};
+constexpr milliseconds introduction_patience{1000};
+/// No founder is chosen until no further candidate has appeared for this long.
+constexpr milliseconds founding_settles{600};
+/// The next seed in order chooses the founder when those before it stay silent.
+constexpr milliseconds founding_turn{3000};
+constexpr milliseconds seat_step_period{200};
+constexpr milliseconds peer_call_patience{2000};
+/// Peers that were not heard of for this long are not passed on.
+constexpr milliseconds peer_life{10000};
+
+std::uint64_t draw_random()
+{
+    static thread_local std::mt19937_64 engine(std::random_device{}());
+    return engine();
+}
+
+template <class Message>
+std::optional<Message> read_message(const wire::incoming_request& request)
+{
+    absl::StatusOr<Message> read = unpack<Message>(request.body);
+    if (!read.ok()) {
+        spdlog::warn("event=message_unreadable kind={} error=\"{}\"", request.kind,
+                     errors::message_of(read.status()));
+        return std::nullopt;
+    }
+    return *std::move(read);
+}
+
+} // namespace
+
+group_service::group_service(const config::settings& chosen, std::string_view cluster_secret,
+                             kernel::control_loop& control_loop, kernel::traffic_loop& traffic_loop)
+    : settings(chosen), secret(cluster_secret), loop(control_loop), traffic(traffic_loop)
+{
+    this->client = std::make_unique<control::leader_client>(
+        this->loop, this->traffic, this->settings.cluster.seeds, this->secret);
+}
+
+group_service::~group_service() = default;
+
+void group_service::host(group_application hosted)
+{
+    this->application = std::move(hosted);
+}
+
+void group_service::serve(messages::kind kind, leader_handler handler)
+{
+    this->handlers[static_cast<std::uint16_t>(kind)] = std::move(handler);
+}
+
+replication::replica_hooks group_service::replica_hooks()
+{
+    replication::replica_hooks hooks;
+    hooks.send = [this](replication::replica_id to, const replication::peer_message& message) {
+        this->send(to, message);
+    };
+    hooks.apply = [this](const replication::log_entry& entry) {
+        this->application.apply(entry.index.value, entry.payload);
+    };
+    hooks.take_snapshot = [this] { return this->application.take_snapshot(); };
+    hooks.restore_snapshot = [this](const replication::snapshot& from) {
+        const absl::Status restored = this->application.restore_snapshot(from.state);
+        if (!restored.ok()) {
+            throw std::runtime_error("a snapshot that passed its checksum is not readable: " +
+                                     errors::message_of(restored));
+        }
+    };
+    hooks.leadership_changed = [this](const replication::leadership& now) {
+        spdlog::info("event=leadership term={} leader={:016x} self={}", now.term.value,
+                     now.leader.value_or(replication::replica_id()).value, now.self_leads);
+        if (now.self_leads != this->led) {
+            this->led = now.self_leads;
+            this->joiners.clear();
+            this->application.leadership_changed(now.self_leads, now.term.value);
+        }
+    };
+    hooks.random = draw_random;
+    return hooks;
+}
+
+absl::Status group_service::open_replica()
+{
+    this->files = std::make_unique<replication::posix_file_system>(this->settings.data_folder);
+    this->storage = std::make_unique<replication::file_log_storage>(*this->files, draw_random);
+    replication::replica_options options;
+    options.address = this->settings.cluster.listen;
+    options.data_centre = this->settings.data_centre;
+    this->replica = std::make_unique<replication::replica>(
+        options, *this->storage, system_clock_function(), this->replica_hooks());
+    return this->replica->start();
+}
+
+absl::Status group_service::start()
+{
+    this->started_at = boot_clock::now();
+    this->last_new_peer = this->started_at;
+    if (!this->settings.data_folder.empty()) {
+        const absl::Status opened = this->open_replica();
+        if (!opened.ok()) {
+            return opened;
+        }
+        this->client->learn(this->replica_addresses());
+    }
+    if (!this->settings.cluster.listen.empty()) {
+        const absl::StatusOr<wire::address> on =
+            wire::parse_address(this->settings.cluster.listen);
+        if (!on.ok()) {
+            return on.status();
+        }
+        this->server = std::make_unique<wire::rpc_server>(
+            this->traffic, this->secret, wire::rpc_options(),
+            [this](wire::incoming_request request, const wire::reply_function& reply) {
+                this->on_request(std::move(request), reply);
+            });
+        const absl::Status listening = this->server->listen(*on);
+        if (!listening.ok()) {
+            return listening;
+        }
+    }
+    this->loop.post([this] { this->tick(); });
+    this->loop.run_every(this->replica != nullptr ? tick_period : eager_introduction_period,
+                         [this] { this->tick(); });
+    spdlog::info("event=group_started address={} replica={} has_state={} founding={}",
+                 this->settings.cluster.listen, this->replica != nullptr,
+                 this->replica != nullptr && this->replica->has_state(),
+                 this->settings.cluster.founding);
+    return absl::OkStatus();
+}
+
+void group_service::drain(steady_time deadline)
+{
+    static_cast<void>(deadline);
+    this->loop.run_and_wait([this] {
+        this->draining = true;
+        if (this->replica != nullptr) {
+            this->replica->resign();
+        }
+    });
+}
+
+void group_service::stop()
+{
+    if (this->server != nullptr) {
+        this->server->stop();
+    }
+    this->loop.run_and_wait([this] {
+        this->stopping = true;
+        this->clients.clear();
+    });
+}
+
+bool group_service::leads() const
+{
+    return this->replica != nullptr && this->replica->leads();
+}
+
+void group_service::propose(std::string command, replication::replica::propose_done done)
+{
+    if (this->replica == nullptr) {
+        done(make_error(replication::replication_errc::not_leader, "no replica here"));
+        return;
+    }
+    this->replica->propose(std::move(command), std::move(done));
+    this->schedule_flush();
+}
+
+void group_service::confirm_leadership(replication::replica::status_done done)
+{
+    if (this->replica == nullptr) {
+        done(make_error(replication::replication_errc::not_leader, "no replica here"));
+        return;
+    }
+    this->replica->read_barrier(std::move(done));
+    this->schedule_flush();
+}
+
+void group_service::set_seeds(const std::vector<std::string>& seeds)
+{
+    this->loop.post([this, seeds] {
+        this->settings.cluster.seeds = seeds;
+        this->client->learn(seeds);
+    });
+}
+
+void group_service::schedule_flush()
+{
+    if (this->flush_scheduled) {
+        return;
+    }
+    // Everything proposed until the posted task runs shares one sync.
+    this->flush_scheduled = true;
+    this->loop.post([this] {
+        this->flush_scheduled = false;
+        this->replica->flush();
+    });
+}
+
+void group_service::on_request(wire::incoming_request request, const wire::reply_function& reply)
+{
+    this->loop.post([this, request = std::move(request), reply]() mutable {
+        if (!this->stopping) {
+            this->serve_request(std::move(request), reply);
+        }
+    });
+}
+
+void group_service::serve_request(wire::incoming_request request, const wire::reply_function& reply)
+{
+    switch (static_cast<messages::kind>(request.kind)) {
+    case messages::kind::hello:
+        reply(this->hello_reply(request));
+        return;
+    case messages::kind::found_group:
+        this->serve_found_group(request);
+        reply(std::string());
+        return;
+    case messages::kind::join:
+        this->serve_join(request);
+        reply(std::string());
+        return;
+    case messages::kind::replication:
+        this->serve_replication(request);
+        reply(std::string());
+        return;
+    default:
+        this->serve_leader(request, reply);
+    }
+}
+
+void group_service::serve_leader(const wire::incoming_request& request,
+                                 const wire::reply_function& reply)
+{
+    messages::control_reply answer;
+    const auto handler = this->handlers.find(request.kind);
+    if (handler == this->handlers.end()) {
+        reply(absl::InvalidArgumentError(fmt::format("unknown message kind {}", request.kind)));
+        return;
+    }
+    if (!this->led || !this->leads()) {
+        answer.result = messages::control_reply::verdict::not_leader;
+        answer.leader = this->leader_address();
+        reply(pack(answer));
+        return;
+    }
+    handler->second(request, [reply](absl::StatusOr<std::string> body) {
+        messages::control_reply served;
+        if (!body.ok()) {
+            const std::optional<replication::replication_errc> code =
+                error_code<replication::replication_errc>(body.status());
+            if (!code.has_value()) {
+                reply(body.status());
+                return;
+            }
+            // Only these two are refused before anything is written.
+            const bool not_written = code == replication::replication_errc::not_leader ||
+                                     code == replication::replication_errc::busy;
+            served.result = not_written ? messages::control_reply::verdict::not_leader
+                                        : messages::control_reply::verdict::unavailable;
+            reply(pack(served));
+            return;
+        }
+        served.result = messages::control_reply::verdict::served;
+        served.body = *std::move(body);
+        reply(pack(served));
+    });
+}
+
+messages::peer_info group_service::own_info() const
+{
+    messages::peer_info info;
+    info.address = this->settings.cluster.listen;
+    info.data_centre = this->settings.data_centre;
+    info.founding = this->settings.cluster.founding;
+    if (this->replica != nullptr) {
+        info.replica = true;
+        info.identity = this->replica->identity();
+        info.has_state = this->replica->has_state();
+    }
+    return info;
+}
+
+std::vector<std::string> group_service::replica_addresses() const
+{
+    std::vector<std::string> addresses;
+    if (this->replica != nullptr) {
+        for (const replication::member& each : this->replica->members()) {
+            addresses.push_back(each.address);
+        }
+    }
+    const steady_time now = boot_clock::now();
+    for (const auto& [address, peer] : this->peers) {
+        if (peer.info.replica && now - peer.last_heard < peer_life) {
+            addresses.push_back(address);
+        }
+    }
+    std::sort(addresses.begin(), addresses.end());
+    addresses.erase(std::unique(addresses.begin(), addresses.end()), addresses.end());
+    return addresses;
+}
+
+std::string group_service::leader_address() const
+{
+    if (this->replica == nullptr) {
+        return "";
+    }
+    const std::optional<replication::replica_id> leader = this->replica->known_leader();
+    if (!leader.has_value() || (this->draining && *leader == this->replica->identity())) {
+        return "";
+    }
+    const replication::member* const member =
+        replication::find_member(this->replica->members(), *leader);
+    return member == nullptr ? "" : member->address;
+}
+
+void group_service::note_peer(const messages::peer_info& peer)
+{
+    if (peer.address.empty()) {
+        return;
+    }
+    const steady_time now = boot_clock::now();
+    const bool is_new = !this->peers.contains(peer.address);
+    this->peers[peer.address] = {peer, now};
+    if (is_new) {
+        this->last_new_peer = now;
+    }
+    if (peer.replica && peer.address != this->settings.cluster.listen) {
+        this->client->learn(std::span(&peer.address, 1));
+    }
+}
+
+std::string group_service::hello_reply(const wire::incoming_request& request)
+{
+    const std::optional<messages::hello> from = read_message<messages::hello>(request);
+    if (from.has_value()) {
+        this->note_peer(from->self);
+        this->client->learn(from->replicas);
+    }
+    messages::hello_answer answer;
+    answer.self = this->own_info();
+    answer.replicas = this->replica_addresses();
+    answer.leader = this->leader_address();
+    answer.term = this->replica == nullptr ? 0 : this->replica->status().term.value;
+    return pack(answer);
+}
+
+void group_service::serve_found_group(const wire::incoming_request& request)
+{
+    const std::optional<messages::found_group> order =
+        read_message<messages::found_group>(request);
+    if (!order.has_value() || this->replica == nullptr || this->replica->has_state() ||
+        !this->settings.cluster.founding) {
+        return;
+    }
+    const absl::Status formed = this->replica->form(order->members);
+    spdlog::info("event=group_founded members={} result=\"{}\"", order->members.size(),
+                 formed.ToString());
+}
+
+void group_service::serve_join(const wire::incoming_request& request)
+{
+    const std::optional<replication::member> joiner = read_message<replication::member>(request);
+    if (!joiner.has_value() || !this->leads()) {
+        return;
+    }
+    if (!this->joiners.contains(joiner->id)) {
+        spdlog::info("event=replica_wants_seat address={} identity={:016x}", joiner->address,
+                     joiner->id.value);
+    }
+    this->joiners[joiner->id] = {*joiner, boot_clock::now()};
+}
+
+void group_service::serve_replication(const wire::incoming_request& request)
+{
+    const std::optional<replication::peer_message> message =
+        read_message<replication::peer_message>(request);
+    if (!message.has_value() || this->replica == nullptr) {
+        return;
+    }
+    if (!message->reply_address.empty()) {
+        this->reply_addresses[message->from] = message->reply_address;
+    }
+    this->replica->receive(message->from, *message);
+}
+
+void group_service::send(replication::replica_id to, const replication::peer_message& message)
+{
+    std::string address;
+    const replication::member* const member =
+        replication::find_member(this->replica->members(), to);
+    if (member != nullptr) {
+        address = member->address;
+    }
+    else {
+        const auto found = this->reply_addresses.find(to);
+        if (found == this->reply_addresses.end()) {
+            return;
+        }
+        address = found->second;
+    }
+    this->client_for(address).call(static_cast<std::uint16_t>(messages::kind::replication),
+                                   pack(message), boot_clock::now() + peer_call_patience,
+                                   [](const absl::StatusOr<std::string>&) {});
+}
+
+wire::rpc_client& group_service::client_for(const std::string& address)
+{
+    std::unique_ptr<wire::rpc_client>& found = this->clients[address];
+    if (found == nullptr) {
+        wire::rpc_options options;
+        // A replica that restarts is wanted back within an election.
+        options.max_reconnect_wait = milliseconds(200);
+        found = std::make_unique<wire::rpc_client>(
+            this->traffic, wire::parse_address(address).value_or(wire::address()), this->secret,
+            options);
+    }
+    return *found;
+}
+
+void group_service::tick()
+{
+    if (this->stopping) {
+        return;
+    }
+    const steady_time now = boot_clock::now();
+    if (this->replica != nullptr) {
+        this->replica->tick();
+        if (this->draining && this->leads()) {
+            this->replica->resign();
+        }
+    }
+    if (now >= this->next_introduction) {
+        this->next_introduction =
+            now + (this->client->in_touch() || this->leads() ? calm_introduction_period
+                                                             : eager_introduction_period);
+        this->introduce();
+        this->consider_founding();
+        this->ask_to_join();
+    }
+    if (now >= this->next_seat_step) {
+        this->next_seat_step = now + seat_step_period;
+        this->advance_seats();
+    }
+}
+
+void group_service::introduce()
+{
+    const messages::hello greeting{this->own_info(), this->replica_addresses()};
+    this->client->broadcast(
+        messages::kind::hello, pack(greeting), boot_clock::now() + introduction_patience,
+        [this](const std::string&, const std::string& body) {
+            const absl::StatusOr<messages::hello_answer> answer =
+                unpack<messages::hello_answer>(body);
+            if (!answer.ok()) {
+                spdlog::warn("event=hello_unreadable error=\"{}\"",
+                             errors::message_of(answer.status()));
+                return;
+            }
+            this->note_peer(answer->self);
+            this->client->learn(answer->replicas);
+            if (!answer->leader.empty()) {
+                this->client->follow(answer->leader, answer->term);
+            }
+        });
+}
+
+/// One of the seeds, which all processes of a new deployment share, chooses the founder.
+void group_service::consider_founding()
+{
+    const std::vector<std::string>& seeds = this->settings.cluster.seeds;
+    const auto own = std::find(seeds.begin(), seeds.end(), this->settings.cluster.listen);
+    const steady_time now = boot_clock::now();
+    if (!this->settings.cluster.founding || own == seeds.end() ||
+        now < this->started_at + founding_settles + founding_turn * (own - seeds.begin()) ||
+        now < this->last_new_peer + founding_settles) {
+        return;
+    }
+    if (this->replica != nullptr) {
+        this->note_peer(this->own_info());
+    }
+    std::vector<replication::member> candidates;
+    for (const auto& [address, peer] : this->peers) {
+        if (peer.info.has_state) {
+            return;
+        }
+        if (peer.info.replica && peer.info.founding) {
+            candidates.push_back({peer.info.identity, address, peer.info.data_centre, true});
+        }
+    }
+    seat_options options;
+    options.tolerated_losses = this->settings.cluster.tolerated_losses;
+    const std::vector<replication::member> founders = choose_founders(candidates, options);
+    if (founders.empty()) {
+        return;
+    }
+    const auto lowest =
+        std::min_element(founders.begin(), founders.end(),
+                         [](const replication::member& left, const replication::member& right) {
+                             return left.address < right.address;
+                         });
+    const std::string order = pack(messages::found_group{founders});
+    spdlog::info("event=founder_chosen address={} members={}", lowest->address, founders.size());
+    if (lowest->address == this->settings.cluster.listen) {
+        this->serve_found_group({0, order, {}});
+        return;
+    }
+    this->client_for(lowest->address)
+        .call(static_cast<std::uint16_t>(messages::kind::found_group), order,
+              now + introduction_patience, [](const absl::StatusOr<std::string>&) {});
+}
+
+void group_service::ask_to_join()
+{
+    if (this->replica == nullptr || this->leads()) {
+        return;
+    }
+    const replication::member* const own =
+        replication::find_member(this->replica->members(), this->replica->identity());
+    // A member that hears of no leader may have lost its seat while it was away.
+    if (own != nullptr && this->replica->known_leader().has_value()) {
+        return;
+    }
+    const replication::member self{this->replica->identity(), this->settings.cluster.listen,
+                                   this->settings.data_centre, false};
+    this->client->broadcast(messages::kind::join, pack(self),
+                            boot_clock::now() + introduction_patience,
+                            [](const std::string&, const std::string&) {});
+}
+
+void group_service::advance_seats()
+{
+    if (!this->leads()) {
+        return;
+    }
+    seat_options options;
+    options.tolerated_losses = this->settings.cluster.tolerated_losses;
+    std::vector<seat_claim> claims;
+    for (const auto& [id, claim] : this->joiners) {
+        claims.push_back(claim);
+    }
+    const seat_step step =
+        plan_seats(this->replica->status(), claims, options, boot_clock::now());
+    const replication::replica::status_done report =
+        [address = step.subject.address, id = step.subject.id,
+         action = static_cast<int>(step.action)](const absl::Status& result) {
+            spdlog::info("event=member_changed action={} address={} identity={:016x} result=\"{}\"",
+                         action, address, id.value, result.ToString());
+        };
+    switch (step.action) {
+    case seat_action::add_learner:
+        this->replica->add_learner(step.subject, report);
+        break;
+    case seat_action::promote:
+        this->replica->promote(step.subject.id, report);
+        break;
+    case seat_action::remove:
+        this->replica->remove(step.subject.id, report);
+        break;
+    case seat_action::none:
+        return;
+    }
+    this->schedule_flush();
+}
+
+} // namespace redwingwheel::cluster
--- a/src/libconfig/settings.cpp
+++ b/src/libconfig/settings.cpp
@@ -10,7 +10,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 5> log_levels{"trace", "debug", "info", "warning", "error"};
-constexpr std::array<std::string_view, 3> role_names{"entry", "control", "agent"};
+constexpr std::array<std::string_view, 5> role_names{"entry", "control", "agent", "gateway",
+                                                     "supervisor"};
 constexpr std::size_t max_replicas = 9;
 constexpr std::size_t max_operators = 1000;
 /// Stays under the 4 MiB frame limit between daemons with room for the headers.
@@ -37,10 +38,11 @@
 role_set read_roles(const field& source)
 {
     role_set roles;
-    const std::array<bool*, 3> flags{&roles.entry, &roles.control, &roles.agent};
+    const std::array<bool*, 5> flags{&roles.entry, &roles.control, &roles.agent, &roles.gateway,
+                                     &roles.supervisor};
     const std::vector<field> items = source.list(role_names.size());
     if (source.present() && items.empty()) {
-        source.reject("a list of one or more of entry, control, agent");
+        source.reject("a list of one or more of entry, control, agent, gateway, supervisor");
     }
     for (const field& item : items) {
         const std::optional<std::size_t> role = item.one_of(role_names);
@@ -165,6 +167,50 @@
     return timing;
 }
 
+cluster_settings read_cluster(map_reader map, const role_set& roles)
+{
+    cluster_settings cluster;
+    const field listen = roles.gateway ? map.required("listen") : map.optional("listen");
+    cluster.listen = listen.address().value_or("");
+    const field seeds = map.required("seeds");
+    const std::vector<field> items = seeds.list(max_replicas);
+    if (seeds.present() && items.empty()) {
+        seeds.reject("a list of 1 to 9 addresses");
+    }
+    read_number(map.optional("port"), {1, 65'535}, cluster.port);
+    for (const field& item : items) {
+        std::string seed = item.address().value_or("");
+        if (cluster.port != 0) {
+            seed = seed.substr(0, seed.rfind(':') + 1) + std::to_string(cluster.port);
+        }
+        cluster.seeds.push_back(std::move(seed));
+    }
+    cluster.founding = map.optional("founding").boolean().value_or(false);
+    read_number(map.optional("tolerated_losses"), {0, 4}, cluster.tolerated_losses);
+    map.finish();
+    return cluster;
+}
+
+gateway_settings read_gateway(map_reader map)
+{
+    gateway_settings gateway;
+    gateway.listen = map.required("listen").address().value_or("");
+    gateway.readiness = map.required("readiness").address().value_or("");
+    gateway.administration = map.required("administration").address().value_or("");
+    map.finish();
+    return gateway;
+}
+
+supervisor_settings read_supervisor(map_reader map)
+{
+    supervisor_settings supervisor;
+    supervisor.listen = map.required("listen").address().value_or("");
+    supervisor.worker = map.required("worker").address().value_or("");
+    read_duration(map.required("lease_ms"), {500, 600'000}, supervisor.lease);
+    map.finish();
+    return supervisor;
+}
+
 settings read_settings(map_reader map)
 {
     settings read;
@@ -184,7 +230,19 @@
         secret.reject("the path of a file");
     }
     read.log = read_log(map.optional("log").map());
-    read.control = read_control(map.required("control").map(), read.roles);
+    const bool uses_control = read.roles.entry || read.roles.control || read.roles.agent;
+    read.control = read_control(
+        (uses_control ? map.required("control") : map.optional("control")).map(), read.roles);
+    const bool uses_cluster = read.roles.gateway || read.roles.supervisor;
+    read.cluster = read_cluster(
+        (uses_cluster ? map.required("cluster") : map.optional("cluster")).map(), read.roles);
+    read.gateway = read_gateway(
+        (read.roles.gateway ? map.required("gateway") : map.optional("gateway")).map());
+    read.supervisor = read_supervisor(
+        (read.roles.supervisor ? map.required("supervisor") : map.optional("supervisor")).map());
+    map_reader metrics = map.optional("metrics").map();
+    read.metrics.listen = metrics.optional("listen").address().value_or("");
+    metrics.finish();
     read.entry =
         read_entry((read.roles.entry ? map.required("entry") : map.optional("entry")).map());
     read.agent =
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -95,6 +95,11 @@
     }
 }
 
+void scheduler::grant(const worker_incarnation& worker)
+{
+    this->workers[worker].grant_until = this->clock() + this->options.grant_life;
+}
+
 void scheduler::worker_ended(const worker_incarnation& worker)
 {
     this->workers[worker].ended = true;
@@ -146,6 +151,7 @@
     this->forget_ended_runs();
     this->release_lost(now);
     this->stop_stalled(now);
+    this->stop_broken_gangs(now);
     this->picture_rooms(now);
     now.guaranteed = this->guaranteed_jobs();
     std::vector<candidate> waiting = this->candidates(now);
@@ -231,6 +237,22 @@
     }
 }
 
+/// The other members of a gang that lost one cannot work and only hold room.
+void scheduler::stop_broken_gangs(round& now)
+{
+    for (const auto& [worker, on_worker] : this->state.assigned_runs()) {
+        for (const run_id& run : on_worker) {
+            const job_record& job = *this->state.find(run.task.job);
+            const step_record& step = job.open.at(run.task.occurrence).steps[run.task.step];
+            const bool broken = job.definition.steps[run.task.step].gang &&
+                                step.assigned < step.tasks.size() - step.done;
+            if (broken && this->evicting.emplace(run, "gang is not whole").second) {
+                now.result.evictions.push_back({run, "gang is not whole"});
+            }
+        }
+    }
+}
+
 void scheduler::picture_rooms(round& now) const
 {
     std::size_t suspects = 0;
--- /dev/null
+++ b/src/libscheduler/scheduler_service.cpp
@@ -0,0 +1,489 @@
+#include "redwingwheel/scheduler_service.h"
+
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+#include "redwingwheel/digest.h"
+#include "redwingwheel/packing.h"
+
+namespace redwingwheel::jobs {
+
+namespace {
+
+constexpr milliseconds tick_period{25};
+/// A round of decisions without news, so that nothing waits on a missed event.
+constexpr milliseconds full_round_period{250};
+constexpr milliseconds time_check_period{50};
+/// A poll is answered after this long without news; well under the permit's life.
+constexpr milliseconds longest_poll{900};
+/// Ended jobs can be asked for at least this long.
+constexpr std::int64_t ended_jobs_kept_ms = 180'000;
+constexpr milliseconds clean_up_period{20000};
+constexpr milliseconds release_retry{1000};
+/// Verdicts of applied commands that nobody on this replica waits for are dropped beyond this.
+constexpr std::size_t verdicts_kept = 4096;
+
+std::int64_t unix_ms()
+{
+    return std::chrono::duration_cast<milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+std::string text_of(const task_id& id)
+{
+    return fmt::format("{}.{}.{}.{}", id.job, id.occurrence, id.step, id.index);
+}
+
+std::string_view verdict_name(job_verdict verdict)
+{
+    switch (verdict) {
+    case job_verdict::accepted:
+        return "accepted";
+    case job_verdict::unknown_queue:
+        return "unknown_queue";
+    case job_verdict::unknown_key:
+        return "unknown_key";
+    case job_verdict::unknown_job:
+        return "unknown_job";
+    case job_verdict::conflicting_version:
+        return "conflicting_version";
+    case job_verdict::no_catalogue:
+        return "no_configuration";
+    case job_verdict::stale:
+        return "stale";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+scheduler_service::scheduler_service(const scheduler_options& options,
+                                     cluster::group_service& carried_by,
+                                     kernel::control_loop& control_loop,
+                                     metrics::registry& counters)
+    : group(carried_by), loop(control_loop), metrics(counters),
+      decisions(options, system_clock_function(), this->state)
+{
+    cluster::group_application application;
+    application.apply = [this](std::uint64_t index, const std::string& command) {
+        this->apply(index, command);
+    };
+    application.take_snapshot = [this] { return this->state.pack_snapshot(); };
+    application.restore_snapshot = [this](std::string_view bytes) {
+        return this->state.restore_snapshot(bytes);
+    };
+    application.leadership_changed = [this](bool leads, std::uint64_t of_term) {
+        this->on_leadership(leads, of_term);
+    };
+    this->group.host(std::move(application));
+    this->group.serve(messages::kind::worker_poll,
+                      [this](const wire::incoming_request& request, const answer_function& answer) {
+                          this->serve_poll(request, answer);
+                      });
+    this->group.serve(messages::kind::job_call,
+                      [this](const wire::incoming_request& request, const answer_function& answer) {
+                          this->serve_call(request, answer);
+                      });
+}
+
+absl::Status scheduler_service::start()
+{
+    this->loop.run_every(tick_period, [this] { this->tick(); });
+    return absl::OkStatus();
+}
+
+void scheduler_service::stop()
+{
+    this->loop.run_and_wait([this] {
+        this->stopping = true;
+        this->polls.clear();
+    });
+}
+
+void scheduler_service::apply(std::uint64_t index, const std::string& command)
+{
+    const absl::StatusOr<job_command> read = unpack_job_command(command);
+    if (!read.ok()) {
+        // Every replica skips the same entry, so they stay equal.
+        spdlog::error("event=command_skipped index={} error=\"{}\"", index,
+                      errors::message_of(read.status()));
+        return;
+    }
+    const std::uint64_t version = this->state.configuration().version;
+    this->verdicts[index] = this->state.apply(*read);
+    if (this->state.configuration().version != version) {
+        spdlog::info("event=configuration_in_force version={} previous={} index={}",
+                     this->state.configuration().version, version, index);
+    }
+    while (this->verdicts.size() > verdicts_kept) {
+        this->verdicts.erase(this->verdicts.begin());
+    }
+    this->changed = true;
+}
+
+void scheduler_service::on_leadership(bool leads, std::uint64_t of_term)
+{
+    this->leading = leads;
+    this->term = of_term;
+    this->undecided = 0;
+    this->proposed_ends.clear();
+    this->proposed_releases.clear();
+    for (const auto& [supervisor, waiting] : this->polls) {
+        waiting.answer(absl::AbortedError("leadership has changed"));
+    }
+    this->polls.clear();
+    if (leads) {
+        this->decisions.begin_leadership();
+    }
+}
+
+void scheduler_service::propose(const job_command& command, command_done done)
+{
+    this->group.propose(pack_job_command(command), [this, done = std::move(done)](
+                                                       absl::StatusOr<replication::log_index> at) {
+        if (!at.ok()) {
+            done(at.status());
+            return;
+        }
+        const auto found = this->verdicts.find(at->value);
+        if (found == this->verdicts.end()) {
+            done(absl::InternalError("the verdict on the command is not kept"));
+            return;
+        }
+        const job_verdict verdict = found->second;
+        this->verdicts.erase(found);
+        done(verdict);
+    });
+}
+
+// --- supervisors --------------------------------------------------------------------------------
+
+void scheduler_service::serve_poll(const wire::incoming_request& request,
+                                   const answer_function& answer)
+{
+    absl::StatusOr<messages::worker_poll> poll = unpack<messages::worker_poll>(request.body);
+    if (!poll.ok()) {
+        answer(poll.status());
+        return;
+    }
+    const auto earlier = this->polls.find(poll->supervisor);
+    if (earlier != this->polls.end()) {
+        earlier->second.answer(absl::AbortedError("a newer poll has arrived"));
+        this->polls.erase(earlier);
+    }
+    for (const worker_incarnation& ended : poll->ended) {
+        this->decisions.worker_ended(ended);
+        this->changed = true;
+    }
+    if (!poll->worker.incarnation.id.empty()) {
+        this->decisions.report(poll->worker, poll->running);
+    }
+    this->take_ends(*poll);
+    this->take_refusals(*poll);
+    this->changed = true;
+    const std::string supervisor = poll->supervisor;
+    this->polls[supervisor] = {*std::move(poll), answer, boot_clock::now() + longest_poll};
+}
+
+void scheduler_service::take_ends(const messages::worker_poll& poll)
+{
+    const worker_incarnation& worker = poll.worker.incarnation;
+    const std::uint64_t known =
+        std::max(this->state.recorded_ends(worker), this->proposed_ends[worker]);
+    record_ends command;
+    command.worker = worker;
+    command.now_unix_ms = unix_ms();
+    for (const listed_end& end : poll.ends) {
+        if (end.number <= known) {
+            continue;
+        }
+        command.ends.push_back(end);
+        this->decisions.note_end(worker, end);
+        this->metrics.add("run_ends_total", fmt::format("how=\"{}\"", run_end_name(end.how)));
+        spdlog::info("event=run_ended job={} task={} run={} how={} worker={} born={} number={}",
+                     end.run.task.job, text_of(end.run.task), end.run.number,
+                     run_end_name(end.how), worker.id, worker.born_unix_ms, end.number);
+    }
+    if (command.ends.empty()) {
+        return;
+    }
+    this->proposed_ends[worker] = command.ends.back().number;
+    this->propose(command, [this, worker](const absl::StatusOr<job_verdict>& verdict) {
+        if (!verdict.ok()) {
+            this->proposed_ends.erase(worker);
+            spdlog::warn("event=ends_not_recorded worker={} error=\"{}\"", worker.id,
+                         errors::message_of(verdict.status()));
+        }
+    });
+}
+
+void scheduler_service::take_refusals(const messages::worker_poll& poll)
+{
+    release_runs command;
+    command.now_unix_ms = unix_ms();
+    const steady_time now = boot_clock::now();
+    for (const messages::refused_start& each : poll.refused) {
+        const task_record* const task = this->state.find(each.run.task);
+        if (task == nullptr || task->phase != task_phase::assigned ||
+            task->last_run != each.run.number) {
+            continue;
+        }
+        steady_time& proposed = this->proposed_releases[each.run];
+        if (now < proposed + release_retry) {
+            continue;
+        }
+        proposed = now;
+        this->decisions.note_refusal(poll.worker.incarnation);
+        this->metrics.add("starts_refused_total", fmt::format("reason=\"{}\"", each.reason));
+        spdlog::info("event=start_refused job={} task={} run={} worker={} reason={}",
+                     each.run.task.job, text_of(each.run.task), each.run.number,
+                     poll.worker.incarnation.id, each.reason);
+        command.runs.push_back({each.run, ""});
+    }
+    if (!command.runs.empty()) {
+        this->propose(command, [](const absl::StatusOr<job_verdict>& verdict) {
+            if (!verdict.ok()) {
+                spdlog::warn("event=release_not_recorded error=\"{}\"",
+                             errors::message_of(verdict.status()));
+            }
+        });
+    }
+}
+
+messages::worker_poll_answer
+scheduler_service::make_answer(const worker_incarnation& worker) const
+{
+    messages::worker_poll_answer made;
+    made.term = this->term;
+    made.permit_ms = static_cast<std::uint64_t>(this->decisions.limits().grant_life.count());
+    made.recorded_ends = this->state.recorded_ends(worker);
+    std::vector<run_id> unconfirmed;
+    for (const run_id& run : this->state.runs_on(worker)) {
+        if (!this->decisions.wanted(run)) {
+            continue;
+        }
+        made.wanted.push_back(run);
+        if (!this->decisions.confirmed(run)) {
+            unconfirmed.push_back(run);
+            const job_record* const job = this->state.find(run.task.job);
+            made.starts.push_back(
+                {run, job->definition.payload, this->state.find(run.task)->checkpoint});
+        }
+    }
+    made.orders_digest =
+        digest::content_hash(pack(std::make_tuple(made.recorded_ends, made.wanted, unconfirmed)));
+    return made;
+}
+
+void scheduler_service::answer_polls()
+{
+    const steady_time now = boot_clock::now();
+    for (auto each = this->polls.begin(); each != this->polls.end();) {
+        const waiting_poll& waiting = each->second;
+        const worker_incarnation& worker = waiting.poll.worker.incarnation;
+        const messages::worker_poll_answer made = this->make_answer(worker);
+        if (made.orders_digest == waiting.poll.orders_digest && now < waiting.answer_by) {
+            ++each;
+            continue;
+        }
+        if (!worker.id.empty()) {
+            this->decisions.grant(worker);
+        }
+        waiting.answer(pack(made));
+        each = this->polls.erase(each);
+    }
+}
+
+// --- gateways -----------------------------------------------------------------------------------
+
+job_verdict scheduler_service::check_caller(const messages::job_call& call) const
+{
+    const queue_definition* const queue = this->state.route(call.host, call.path);
+    if (queue == nullptr) {
+        return this->state.configuration().version == 0 ? job_verdict::no_catalogue
+                                                        : job_verdict::unknown_queue;
+    }
+    if (!queue->open && this->state.account_of(call.key) == nullptr) {
+        return job_verdict::unknown_key;
+    }
+    return job_verdict::accepted;
+}
+
+void scheduler_service::serve_call(const wire::incoming_request& request,
+                                   const answer_function& answer)
+{
+    absl::StatusOr<messages::job_call> call = unpack<messages::job_call>(request.body);
+    if (!call.ok()) {
+        answer(call.status());
+        return;
+    }
+    switch (call->operation) {
+    case messages::job_operation::submit:
+        this->serve_submit(*call, answer);
+        return;
+    case messages::job_operation::cancel:
+        if (const job_verdict verdict = this->check_caller(*call);
+            verdict != job_verdict::accepted) {
+            answer(pack(messages::job_answer{verdict, {}, 0, ""}));
+            return;
+        }
+        this->serve_change(*call, cancel_job{call->job, unix_ms()}, answer);
+        return;
+    case messages::job_operation::install_configuration:
+        this->serve_change(*call, install_catalogue{std::move(call->configuration)}, answer);
+        return;
+    case messages::job_operation::evacuate:
+        this->serve_change(*call, set_evacuation{call->data_centre, true}, answer);
+        return;
+    case messages::job_operation::restore:
+        this->serve_change(*call, set_evacuation{call->data_centre, false}, answer);
+        return;
+    default:
+        this->serve_read(*call, answer);
+    }
+}
+
+void scheduler_service::serve_submit(const messages::job_call& call, const answer_function& answer)
+{
+    const job_verdict verdict = this->check_caller(call);
+    if (verdict != job_verdict::accepted) {
+        spdlog::info("event=job_refused job={} reason={} configuration={}", call.job,
+                     verdict_name(verdict), this->state.configuration().version);
+        answer(pack(messages::job_answer{verdict, {}, 0, ""}));
+        return;
+    }
+    this->serve_change(call,
+                       submit_job{call.job, call.host, call.path, call.key, call.definition,
+                                  unix_ms()},
+                       answer);
+}
+
+void scheduler_service::serve_change(const messages::job_call& call, const job_command& change,
+                                     const answer_function& answer)
+{
+    const steady_time begun = boot_clock::now();
+    this->propose(change, [this, answer, begun, job = call.job,
+                           operation = static_cast<int>(call.operation)](
+                              const absl::StatusOr<job_verdict>& verdict) {
+        if (!verdict.ok()) {
+            spdlog::warn("event=change_unanswered operation={} job={} error=\"{}\"", operation, job,
+                         errors::message_of(verdict.status()));
+            answer(verdict.status());
+            return;
+        }
+        const double took =
+            std::chrono::duration<double, std::milli>(boot_clock::now() - begun).count();
+        this->metrics.observe("commit_ms", "", took);
+        spdlog::info("event=change_committed operation={} job={} verdict={} took_ms={:.1f} "
+                     "configuration={}",
+                     operation, job, verdict_name(*verdict), took,
+                     this->state.configuration().version);
+        answer(pack(messages::job_answer{*verdict, {}, 0, ""}));
+    });
+}
+
+void scheduler_service::serve_read(const messages::job_call& call, const answer_function& answer)
+{
+    // Confirmed by a quorum: a leader that was replaced must not show an older state.
+    this->group.confirm_leadership([this, call, answer](const absl::Status& confirmed) {
+        if (!confirmed.ok()) {
+            answer(confirmed);
+            return;
+        }
+        messages::job_answer made;
+        if (call.operation == messages::job_operation::read_configuration) {
+            made.document = this->state.configuration().document;
+            made.verdict = this->state.configuration().version == 0 ? job_verdict::no_catalogue
+                                                                    : job_verdict::accepted;
+            answer(pack(made));
+            return;
+        }
+        made.verdict = this->check_caller(call);
+        if (made.verdict == job_verdict::accepted &&
+            call.operation == messages::job_operation::count_pending) {
+            made.pending = this->state.pending(this->state.route(call.host, call.path)->name);
+        }
+        else if (made.verdict == job_verdict::accepted) {
+            const job_record* const job = this->state.find(call.job);
+            made.verdict = job == nullptr ? job_verdict::unknown_job : job_verdict::accepted;
+            made.status = job == nullptr ? job_status::queued : job->status;
+        }
+        answer(pack(made));
+    });
+}
+
+// --- decisions ----------------------------------------------------------------------------------
+
+void scheduler_service::tick()
+{
+    if (this->stopping || !this->leading || !this->group.leads()) {
+        return;
+    }
+    this->advance_time();
+    const steady_time now = boot_clock::now();
+    if (this->undecided == 0 && (this->changed || now >= this->next_full_round)) {
+        this->changed = false;
+        this->next_full_round = now + full_round_period;
+        this->decide();
+    }
+    this->answer_polls();
+}
+
+void scheduler_service::advance_time()
+{
+    const steady_time now = boot_clock::now();
+    if (now < this->next_time_check) {
+        return;
+    }
+    this->next_time_check = now + time_check_period;
+    const std::int64_t wall = unix_ms();
+    const bool clean_up = now >= this->next_clean_up;
+    if (this->state.occurrence_due(wall) || clean_up) {
+        this->next_clean_up = now + clean_up_period;
+        // Checked again once this is committed.
+        this->next_time_check = now + std::chrono::seconds(1);
+        this->propose(::redwingwheel::jobs::advance_time{wall, wall - ended_jobs_kept_ms}, [this](const absl::StatusOr<job_verdict>&) {
+            this->next_time_check = steady_time();
+        });
+    }
+}
+
+void scheduler_service::decide()
+{
+    const schedule made = this->decisions.decide(unix_ms());
+    for (const eviction& each : made.evictions) {
+        this->metrics.add("evictions_total");
+        spdlog::info("event=run_evicted job={} task={} run={} reason=\"{}\"", each.run.task.job,
+                     text_of(each.run.task), each.run.number, each.in_favour_of);
+    }
+    const auto settled = [this](const absl::StatusOr<job_verdict>& verdict) {
+        if (!verdict.ok()) {
+            spdlog::warn("event=decision_not_committed error=\"{}\"",
+                         errors::message_of(verdict.status()));
+        }
+        if (this->undecided > 0) {
+            --this->undecided;
+        }
+    };
+    if (!made.releases.empty()) {
+        for (const released_run& each : made.releases) {
+            spdlog::info("event=run_given_up job={} task={} run={} reason=worker_lost",
+                         each.run.task.job, text_of(each.run.task), each.run.number);
+        }
+        ++this->undecided;
+        this->propose(release_runs{made.releases, unix_ms()}, settled);
+    }
+    for (const assign_runs& each : made.assignments) {
+        ++this->undecided;
+        for (const assignment& given : each.runs) {
+            this->metrics.add("assignments_total");
+            spdlog::info("event=run_assigned job={} task={} run={} worker={} born={} term={}",
+                         given.run.task.job, text_of(given.run.task), given.run.number,
+                         given.worker.id, given.worker.born_unix_ms, this->term);
+        }
+        this->propose(each, settled);
+    }
+}
+
+} // namespace redwingwheel::jobs
--- /dev/null
+++ b/src/libsupervisor/supervisor.cpp
@@ -0,0 +1,435 @@
+#include "redwingwheel/supervisor.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+namespace redwingwheel::jobs {
+
+namespace {
+
+/// The worker's clock may run this much slower than ours: a lease of L on it lasts up to L / 0.98.
+constexpr double slowest_worker_clock = 0.98;
+constexpr std::size_t most_polls_in_flight = 2;
+/// Ended incarnations named in polls; older ones have been seen by the leader or have lapsed.
+constexpr std::size_t ended_kept = 8;
+
+std::string text_of(const run_id& run)
+{
+    return fmt::format("{}.{}.{}.{} run={}", run.task.job, run.task.occurrence, run.task.step,
+                       run.task.index, run.number);
+}
+
+} // namespace
+
+std::string_view start_result_name(start_result result)
+{
+    switch (result) {
+    case start_result::started:
+        return "started";
+    case start_result::no_room:
+        return "no_room";
+    case start_result::too_late:
+        return "too_late";
+    case start_result::outdated:
+        return "outdated";
+    case start_result::fenced:
+        return "fenced";
+    case start_result::not_healthy:
+        return "not_healthy";
+    case start_result::other_incarnation:
+        return "other_incarnation";
+    case start_result::invalid:
+        return "invalid";
+    case start_result::no_answer:
+        return "no_answer";
+    }
+    return "unknown";
+}
+
+supervisor::supervisor(const supervisor_options& chosen, clock_function now, worker_port& to_worker,
+                       supervisor_hooks callbacks)
+    : options(chosen), clock(std::move(now)), port(to_worker), hooks(std::move(callbacks))
+{
+}
+
+bool supervisor::has_permit() const
+{
+    return this->clock() < this->permit_until;
+}
+
+void supervisor::announce(const worker_description& announced, std::uint64_t sequence)
+{
+    if (this->ended.contains(announced.incarnation)) {
+        return;
+    }
+    if (this->worker.has_value()) {
+        const worker_incarnation& present = this->worker->incarnation;
+        if (announced.incarnation.born_unix_ms < present.born_unix_ms ||
+            (announced.incarnation == present && sequence <= this->last_sequence)) {
+            spdlog::info("event=announcement_ignored worker={} born={} sequence={} present={} "
+                         "present_born={}",
+                         announced.incarnation.id, announced.incarnation.born_unix_ms, sequence,
+                         present.id, present.born_unix_ms);
+            return;
+        }
+    }
+    const bool is_new =
+        !this->worker.has_value() || this->worker->incarnation != announced.incarnation;
+    if (is_new) {
+        this->begin_incarnation(announced.incarnation);
+    }
+    const bool changed = is_new || *this->worker != announced;
+    this->worker = announced;
+    this->last_sequence = sequence;
+    if (changed) {
+        spdlog::info("event=worker_announced worker={} born={} draining={} sequence={}",
+                     announced.incarnation.id, announced.incarnation.born_unix_ms,
+                     announced.draining, sequence);
+        this->poll_now();
+    }
+    if (!this->renewing) {
+        this->renew();
+    }
+}
+
+void supervisor::begin_incarnation(const worker_incarnation& incarnation)
+{
+    if (this->worker.has_value()) {
+        spdlog::info("event=worker_replaced worker={} born={} new={} new_born={}",
+                     this->worker->incarnation.id, this->worker->incarnation.born_unix_ms,
+                     incarnation.id, incarnation.born_unix_ms);
+        this->ended.insert(this->worker->incarnation);
+        while (this->ended.size() > ended_kept) {
+            this->ended.erase(this->ended.begin());
+        }
+    }
+    this->worker_clock.reset();
+    this->running.clear();
+    this->ends.clear();
+    this->recorded_ends = 0;
+    this->announced_end = 0;
+    this->has_orders = false;
+    this->wanted.clear();
+    this->starts.clear();
+    this->stops.clear();
+    this->orders_digest = 0;
+    this->last_sequence = 0;
+    this->renewing = false;
+    ++this->renewal;
+}
+
+void supervisor::worker_left(const std::string& id)
+{
+    if (!this->worker.has_value() || this->worker->incarnation.id != id) {
+        return;
+    }
+    spdlog::info("event=worker_left worker={} born={}", id, this->worker->incarnation.born_unix_ms);
+    this->begin_incarnation({});
+    this->worker.reset();
+    this->poll_now();
+}
+
+// --- lease and listing --------------------------------------------------------------------------
+
+/// The latest time on the worker's clock that the permit surely covers.
+std::optional<worker_time_ms> supervisor::lease_limit() const
+{
+    if (!this->worker_clock.has_value() || !this->has_permit()) {
+        return std::nullopt;
+    }
+    const double covered = std::chrono::duration<double, std::milli>(this->permit_until -
+                                                                     this->worker_clock_read_at)
+                               .count();
+    return *this->worker_clock + static_cast<worker_time_ms>(covered * slowest_worker_clock);
+}
+
+void supervisor::renew()
+{
+    if (!this->worker.has_value()) {
+        this->renewing = false;
+        return;
+    }
+    this->renewing = true;
+    renew_request order;
+    order.worker = this->worker->incarnation;
+    order.fence = this->term;
+    order.recorded_ends = this->recorded_ends;
+    order.wait = this->worker_clock.has_value() ? this->options.renewal_wait : milliseconds(0);
+    const std::optional<worker_time_ms> limit = this->lease_limit();
+    if (limit.has_value()) {
+        order.lease_until =
+            std::min(*limit, *this->worker_clock + this->options.longest_lease.count());
+    }
+    const std::uint64_t number = ++this->renewal;
+    this->port.renew(order, [this, number](const absl::StatusOr<worker_listing>& listing) {
+        if (number != this->renewal) {
+            return;
+        }
+        if (listing.ok() && this->worker.has_value() &&
+            listing->worker == this->worker->incarnation) {
+            this->on_listing(*listing);
+            this->renew();
+            return;
+        }
+        spdlog::warn("event=worker_renewal_failed worker={} error=\"{}\"",
+                     this->worker.has_value() ? this->worker->incarnation.id : "",
+                     listing.ok() ? "other incarnation" : std::string(listing.status().message()));
+        this->hooks.run_at(this->clock() + this->options.pause_after_failure, [this, number] {
+            if (number == this->renewal) {
+                this->renew();
+            }
+        });
+    });
+}
+
+void supervisor::on_listing(const worker_listing& listing)
+{
+    this->worker_clock = listing.clock;
+    this->worker_clock_read_at = this->clock();
+    this->running = listing.running;
+    std::erase_if(this->ends,
+                  [this](const auto& each) { return each.first <= this->recorded_ends; });
+    bool news = false;
+    for (const listed_end& end : listing.ends) {
+        if (end.number <= this->recorded_ends) {
+            continue;
+        }
+        news |= this->ends.emplace(end.number, end).second;
+    }
+    this->settle_starts(listing);
+    this->stop_unwanted();
+    if (news) {
+        this->poll_now();
+    }
+}
+
+void supervisor::settle_starts(const worker_listing& listing)
+{
+    const auto is_listed = [&listing](const run_id& run) {
+        return std::any_of(listing.running.begin(), listing.running.end(),
+                           [&run](const run_progress& each) { return each.run == run; }) ||
+               std::any_of(listing.ends.begin(), listing.ends.end(),
+                           [&run](const listed_end& each) { return each.run == run; });
+    };
+    for (auto& [run, start] : this->starts) {
+        if (start.refused || start.in_flight || is_listed(run)) {
+            continue;
+        }
+        if (listing.clock > start.deadline && this->clock() > start.sent_at + milliseconds(50)) {
+            this->refuse(run, start, "not_started_in_time");
+        }
+        else if (start.unanswered > 0 &&
+                 this->clock() > start.sent_at + this->options.retry_unanswered) {
+            this->send_start(run);
+        }
+    }
+}
+
+void supervisor::stop_unwanted()
+{
+    if (!this->has_orders) {
+        return;
+    }
+    const steady_time now = this->clock();
+    for (const run_progress& each : this->running) {
+        if (this->wanted.contains(each.run)) {
+            continue;
+        }
+        steady_time& sent = this->stops[each.run];
+        if (now > sent + this->options.retry_unanswered) {
+            sent = now;
+            this->send_stop(each.run);
+        }
+    }
+    std::erase_if(this->stops, [now](const auto& each) {
+        return now > each.second + std::chrono::seconds(30);
+    });
+}
+
+void supervisor::send_stop(const run_id& run)
+{
+    spdlog::info("event=run_stopping task={} worker={} term={}", text_of(run),
+                 this->worker->incarnation.id, this->term);
+    this->port.stop_run({this->worker->incarnation, run, this->term}, [run](bool acknowledged) {
+        if (!acknowledged) {
+            spdlog::warn("event=stop_unanswered task={}", text_of(run));
+        }
+    });
+}
+
+// --- starts -------------------------------------------------------------------------------------
+
+void supervisor::send_start(const run_id& run)
+{
+    tracked_start& start = this->starts.at(run);
+    const std::optional<worker_time_ms> limit = this->lease_limit();
+    if (!limit.has_value() || this->worker->draining) {
+        // An earlier attempt may still be carried out; its deadline decides.
+        if (start.unanswered == 0) {
+            this->refuse(run, start, this->worker->draining ? "draining" : "no_permit");
+        }
+        return;
+    }
+    if (start.deadline == 0) {
+        const worker_time_ms elapsed = std::chrono::duration_cast<milliseconds>(
+                                           this->clock() - this->worker_clock_read_at)
+                                           .count();
+        start.deadline = std::min(
+            *limit, *this->worker_clock + elapsed + this->options.start_window.count());
+    }
+    start.in_flight = true;
+    start.sent_at = this->clock();
+    const worker_incarnation of = start.worker;
+    this->port.start_run({start.worker, run, start.order.payload, start.order.checkpoint,
+                          start.deadline, this->term},
+                         [this, run, of](start_result result) {
+                             if (this->worker.has_value() && this->worker->incarnation == of) {
+                                 this->on_start_result(run, result);
+                             }
+                         });
+}
+
+void supervisor::on_start_result(const run_id& run, start_result result)
+{
+    const auto found = this->starts.find(run);
+    if (found == this->starts.end()) {
+        return;
+    }
+    tracked_start& start = found->second;
+    start.in_flight = false;
+    spdlog::info("event=start_answered task={} worker={} result={} unanswered={} term={}",
+                 text_of(run), start.worker.id, start_result_name(result), start.unanswered,
+                 this->term);
+    switch (result) {
+    case start_result::started:
+        if (!this->wanted.contains(run)) {
+            this->send_stop(run);
+        }
+        return;
+    case start_result::no_answer:
+        ++start.unanswered;
+        return;
+    case start_result::too_late:
+        this->refuse(run, start, "too_late");
+        return;
+    case start_result::outdated:
+        // It ran and its end is listed, or the deadline settles it.
+        return;
+    default:
+        if (start.unanswered == 0) {
+            this->refuse(run, start, start_result_name(result));
+        }
+    }
+}
+
+void supervisor::refuse(const run_id& run, tracked_start& start, std::string_view reason)
+{
+    start.refused = true;
+    start.reason = reason;
+    spdlog::info("event=start_refused task={} worker={} reason={}", text_of(run), start.worker.id,
+                 reason);
+    this->poll_now();
+}
+
+// --- leader -------------------------------------------------------------------------------------
+
+void supervisor::poll_now()
+{
+    if (this->poll_scheduled) {
+        return;
+    }
+    this->poll_scheduled = true;
+    this->hooks.run_at(this->clock(), [this] {
+        this->poll_scheduled = false;
+        this->send_poll();
+    });
+}
+
+void supervisor::send_poll()
+{
+    if (this->polls_in_flight >= most_polls_in_flight ||
+        (!this->worker.has_value() && this->ended.empty())) {
+        return;
+    }
+    messages::worker_poll poll;
+    poll.supervisor = this->options.name;
+    poll.sequence = ++this->poll_sequence;
+    if (this->worker.has_value()) {
+        poll.worker = *this->worker;
+        poll.running = this->running;
+    }
+    for (const auto& [number, end] : this->ends) {
+        poll.ends.push_back(end);
+    }
+    for (const auto& [run, start] : this->starts) {
+        if (start.refused) {
+            poll.refused.push_back({run, start.reason});
+        }
+    }
+    poll.ended.assign(this->ended.begin(), this->ended.end());
+    poll.orders_digest = this->orders_digest;
+    ++this->polls_in_flight;
+    const steady_time sent_at = this->clock();
+    const std::uint64_t sequence = poll.sequence;
+    const worker_incarnation of = poll.worker.incarnation;
+    this->hooks.poll(
+        poll, sent_at + this->options.poll_patience,
+        [this, sent_at, sequence, of](const absl::StatusOr<messages::worker_poll_answer>& answer) {
+            --this->polls_in_flight;
+            const bool current = this->worker.has_value() && this->worker->incarnation == of;
+            if (answer.ok() && current && sequence > this->answered_poll) {
+                this->answered_poll = sequence;
+                this->on_answer(*answer, sent_at);
+            }
+            if (this->polls_in_flight > 0) {
+                return;
+            }
+            if (answer.ok()) {
+                this->poll_now();
+                return;
+            }
+            this->hooks.run_at(this->clock() + this->options.pause_after_failure, [this] {
+                if (this->polls_in_flight == 0) {
+                    this->poll_now();
+                }
+            });
+        });
+}
+
+void supervisor::on_answer(const messages::worker_poll_answer& answer, steady_time sent_at)
+{
+    if (answer.term < this->term) {
+        return;
+    }
+    if (answer.term > this->term) {
+        spdlog::info("event=leader_followed term={} previous={}", answer.term, this->term);
+    }
+    const bool first = !this->has_orders;
+    this->term = answer.term;
+    this->permit_until =
+        std::max(this->permit_until, sent_at + milliseconds(answer.permit_ms));
+    this->has_orders = true;
+    this->orders_digest = answer.orders_digest;
+    this->recorded_ends = std::max(this->recorded_ends, answer.recorded_ends);
+    this->wanted = std::set<run_id>(answer.wanted.begin(), answer.wanted.end());
+    std::erase_if(this->starts, [this](const auto& each) {
+        return !this->wanted.contains(each.first) && !each.second.in_flight;
+    });
+    for (const messages::start_order& order : answer.starts) {
+        if (this->starts.contains(order.run)) {
+            continue;
+        }
+        tracked_start& added = this->starts[order.run];
+        added.order = order;
+        added.worker = this->worker->incarnation;
+        this->send_start(order.run);
+    }
+    this->stop_unwanted();
+    if (first && !this->renewing) {
+        this->renew();
+    }
+}
+
+} // namespace redwingwheel::jobs
--- a/src/redwingwheeld/daemon.cpp
+++ b/src/redwingwheeld/daemon.cpp
@@ -3,6 +3,10 @@
 #include "redwingwheel/agent_service.h"
 #include "redwingwheel/control_service.h"
 #include "redwingwheel/entry_service.h"
+#include "redwingwheel/scheduler_service.h"
+
+#include "metrics_page.h"
+#include "platform/services.h"
 
 namespace redwingwheel::daemon {
 
@@ -33,6 +37,32 @@
         this->services.add(std::make_unique<entry::entry_service>(
             this->settings, secret, this->loop, this->traffic, this->metrics));
     }
+    if (this->settings.roles.gateway || this->settings.roles.supervisor) {
+        this->add_cluster_services(secret);
+    }
+    if (!this->settings.metrics.listen.empty()) {
+        this->services.add(
+            std::make_unique<metrics_page>(this->settings.metrics.listen, this->metrics));
+    }
+}
+
+void process::add_cluster_services(std::string_view secret)
+{
+    this->services.add(std::make_unique<cluster::group_service>(this->settings, secret, this->loop,
+                                                                this->traffic));
+    cluster::group_service& group = this->services.find<cluster::group_service>("group");
+    if (!this->settings.data_folder.empty()) {
+        this->services.add(std::make_unique<jobs::scheduler_service>(
+            jobs::scheduler_options(), group, this->loop, this->metrics));
+    }
+    if (this->settings.roles.gateway) {
+        this->services.add(std::make_unique<platform::gateway_service>(
+            this->settings, group, this->loop, this->metrics));
+    }
+    if (this->settings.roles.supervisor) {
+        this->services.add(std::make_unique<platform::supervisor_service>(
+            this->settings, group, this->loop, this->client, this->metrics));
+    }
 }
 
 absl::Status process::start()
--- a/src/redwingwheeld/daemon.h
+++ b/src/redwingwheeld/daemon.h
@@ -27,6 +27,7 @@
 
 private:
     void add_services(std::string_view secret);
+    void add_cluster_services(std::string_view secret);
 
     config::settings settings;
     kernel::control_loop loop;
--- a/src/redwingwheeld/main.cpp
+++ b/src/redwingwheeld/main.cpp
@@ -68,7 +68,7 @@
 {
     std::shared_ptr<spdlog::logger> logger;
     if (settings.log.file.empty()) {
-        logger = spdlog::stderr_logger_mt("redwingwheel");
+        logger = spdlog::stdout_logger_mt("redwingwheel");
     }
     else {
         logger = spdlog::basic_logger_mt("redwingwheel", settings.log.file);
