Reload settings on SIGHUP; refuse a start only when it surely did not run

Cause: SIGHUP ended processes (exit 129); a supervisor that was restarted refused starts for want of a permit although its predecessor had carried them out, so the run was given away twice; gateways without a disk answered 'unknown message kind' in place of pointing to the leader. Ruled out: the leader gives up runs early (its grants were in force). Change: reload, listing before any refusal, predecessor's window counts as unanswered, not_leader before the handler.

--- a/src/include/redwingwheel/leader_client.h
+++ b/src/include/redwingwheel/leader_client.h
@@ -54,6 +54,10 @@
 
     /// True when a leader answered a call and none has failed since.
     [[nodiscard]] bool in_touch() const { return this->touched; }
+
+    /// Where the next call goes, and the newest term that `follow` was given.
+    [[nodiscard]] std::string followed_address() const;
+    [[nodiscard]] std::uint64_t term() const { return this->followed_term; }
     ~leader_client();
     leader_client(const leader_client&) = delete;
     leader_client& operator=(const leader_client&) = delete;
--- a/src/include/redwingwheel/supervisor.h
+++ b/src/include/redwingwheel/supervisor.h
@@ -89,6 +89,8 @@
 
     std::optional<worker_time_ms> worker_clock;
     steady_time worker_clock_read_at;
+    /// Until then on the worker's clock, starts of an earlier process may be carried out.
+    worker_time_ms predecessor_until = 0;
     std::vector<run_progress> running;
     std::map<std::uint64_t, listed_end> ends;
     std::uint64_t recorded_ends = 0;
--- a/src/libclient/leader_client.cpp
+++ b/src/libclient/leader_client.cpp
@@ -121,6 +121,11 @@
     }
 }
 
+std::string leader_client::followed_address() const
+{
+    return wire::to_string(this->replicas[this->believed]->remote());
+}
+
 std::vector<std::string> leader_client::known_addresses() const
 {
     std::vector<std::string> known;
--- a/src/libcluster/group_service.cpp
+++ b/src/libcluster/group_service.cpp
@@ -251,17 +251,17 @@
                                  const wire::reply_function& reply)
 {
     messages::control_reply answer;
-    const auto handler = this->handlers.find(request.kind);
-    if (handler == this->handlers.end()) {
-        reply(absl::InvalidArgumentError(fmt::format("unknown message kind {}", request.kind)));
-        return;
-    }
     if (!this->led || !this->leads()) {
         answer.result = messages::control_reply::verdict::not_leader;
         answer.leader = this->leader_address();
         reply(pack(answer));
         return;
     }
+    const auto handler = this->handlers.find(request.kind);
+    if (handler == this->handlers.end()) {
+        reply(absl::InvalidArgumentError(fmt::format("unknown message kind {}", request.kind)));
+        return;
+    }
     handler->second(request, [reply](absl::StatusOr<std::string> body) {
         messages::control_reply served;
         if (!body.ok()) {
@@ -321,7 +321,7 @@
 std::string group_service::leader_address() const
 {
     if (this->replica == nullptr) {
-        return "";
+        return this->client->in_touch() ? this->client->followed_address() : "";
     }
     const std::optional<replication::replica_id> leader = this->replica->known_leader();
     if (!leader.has_value() || (this->draining && *leader == this->replica->identity())) {
@@ -359,7 +359,8 @@
     answer.self = this->own_info();
     answer.replicas = this->replica_addresses();
     answer.leader = this->leader_address();
-    answer.term = this->replica == nullptr ? 0 : this->replica->status().term.value;
+    answer.term = this->replica == nullptr ? this->client->term()
+                                           : this->replica->status().term.value;
     return pack(answer);
 }
 
--- a/src/libsupervisor/supervisor.cpp
+++ b/src/libsupervisor/supervisor.cpp
@@ -186,6 +186,9 @@
 
 void supervisor::on_listing(const worker_listing& listing)
 {
+    if (!this->worker_clock.has_value()) {
+        this->predecessor_until = listing.clock + this->options.start_window.count();
+    }
     this->worker_clock = listing.clock;
     this->worker_clock_read_at = this->clock();
     this->running = listing.running;
@@ -217,10 +220,13 @@
         if (start.refused || start.in_flight || is_listed(run)) {
             continue;
         }
-        if (listing.clock > start.deadline && this->clock() > start.sent_at + milliseconds(50)) {
+        if (start.deadline == 0) {
+            this->send_start(run);
+        }
+        else if (listing.clock > start.deadline && this->clock() > start.sent_at + milliseconds(50)) {
             this->refuse(run, start, "not_started_in_time");
         }
-        else if (start.unanswered > 0 &&
+        else if (start.unanswered > 0 && listing.clock < start.deadline &&
                  this->clock() > start.sent_at + this->options.retry_unanswered) {
             this->send_start(run);
         }
@@ -264,20 +270,29 @@
 void supervisor::send_start(const run_id& run)
 {
     tracked_start& start = this->starts.at(run);
+    const bool listed = std::any_of(this->running.begin(), this->running.end(),
+                                    [&run](const run_progress& each) { return each.run == run; });
+    if (listed) {
+        return;
+    }
     const std::optional<worker_time_ms> limit = this->lease_limit();
+    const worker_time_ms now =
+        *this->worker_clock + std::chrono::duration_cast<milliseconds>(
+                                  this->clock() - this->worker_clock_read_at)
+                                  .count();
     if (!limit.has_value() || this->worker->draining) {
         // An earlier attempt may still be carried out; its deadline decides.
         if (start.unanswered == 0) {
             this->refuse(run, start, this->worker->draining ? "draining" : "no_permit");
         }
+        else if (start.deadline == 0) {
+            start.deadline = std::max(now, this->predecessor_until);
+            start.sent_at = this->clock();
+        }
         return;
     }
     if (start.deadline == 0) {
-        const worker_time_ms elapsed = std::chrono::duration_cast<milliseconds>(
-                                           this->clock() - this->worker_clock_read_at)
-                                           .count();
-        start.deadline = std::min(
-            *limit, *this->worker_clock + elapsed + this->options.start_window.count());
+        start.deadline = std::min(*limit, now + this->options.start_window.count());
     }
     start.in_flight = true;
     start.sent_at = this->clock();
@@ -424,7 +439,13 @@
         tracked_start& added = this->starts[order.run];
         added.order = order;
         added.worker = this->worker->incarnation;
-        this->send_start(order.run);
+        // What an earlier process of this supervisor sent may yet be carried out.
+        if (!this->worker_clock.has_value() || *this->worker_clock < this->predecessor_until) {
+            added.unanswered = 1;
+        }
+        if (this->worker_clock.has_value()) {
+            this->send_start(order.run);
+        }
     }
     this->stop_unwanted();
     if (first && !this->renewing) {
--- a/src/redwingwheeld/daemon.cpp
+++ b/src/redwingwheeld/daemon.cpp
@@ -72,6 +72,13 @@
     return this->services.start();
 }
 
+void process::reload(const config::settings& changed)
+{
+    if (this->services.contains("group")) {
+        this->services.find<cluster::group_service>("group").set_seeds(changed.cluster.seeds);
+    }
+}
+
 void process::drain_and_stop()
 {
     this->services.drain_and_stop(boot_clock::now() + this->settings.timing.drain);
--- a/src/redwingwheeld/daemon.h
+++ b/src/redwingwheeld/daemon.h
@@ -22,6 +22,9 @@
 
     [[nodiscard]] absl::Status start();
 
+    /// Takes over what can change while the process runs: the seeds.
+    void reload(const config::settings& changed);
+
     /// Lets work in progress end, within the time that the settings give, then stops.
     void drain_and_stop();
 
--- a/src/redwingwheeld/main.cpp
+++ b/src/redwingwheeld/main.cpp
@@ -86,12 +86,39 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     return signals;
 }
 
-int run(const redwingwheel::config::settings& settings, const std::string& secret)
+/// Settings files may change without a signal; they are read again this often.
+constexpr std::chrono::seconds settings_check_period{2};
+
+/// Puts changed settings in force as far as a running process can. A rejected document changes
+/// nothing.
+void reload(const std::string& file_name, std::string& known_text,
+            redwingwheel::daemon::process& process)
+{
+    const std::optional<std::string> text = read_file(file_name);
+    if (!text.has_value() || *text == known_text) {
+        return;
+    }
+    known_text = *text;
+    const absl::StatusOr<redwingwheel::config::settings> settings =
+        redwingwheel::config::load_settings(*text, file_name);
+    if (!settings.ok()) {
+        for (const std::string& line : redwingwheel::config::problem_lines(settings.status())) {
+            spdlog::error("event=settings_refused problem=\"{}\"", line);
+        }
+        return;
+    }
+    spdlog::info("event=settings_reloaded");
+    process.reload(*settings);
+}
+
+int run(const redwingwheel::config::settings& settings, const std::string& secret,
+        const std::string& file_name, std::string text)
 {
     const sigset_t signals = block_stop_signals();
     redwingwheel::daemon::process process(settings, secret);
@@ -101,8 +128,14 @@
         return exit_failed;
     }
     spdlog::info("event=started");
+    const timespec period{settings_check_period.count(), 0};
     int received = 0;
-    sigwait(&signals, &received);
+    do {
+        received = sigtimedwait(&signals, nullptr, &period);
+        if (received == SIGHUP || received < 0) {
+            reload(file_name, text, process);
+        }
+    } while (received == SIGHUP || received < 0);
     spdlog::info("event=stopping signal={}", received);
     process.drain_and_stop();
     spdlog::info("event=stopped");
@@ -150,5 +183,5 @@
         return exit_bad_input;
     }
     set_up_log(*settings);
-    return run(*settings, trimmed(*secret));
+    return run(*settings, trimmed(*secret), given.config_file, *text);
 }
