Hand leadership over at a planned stop; wait for requests that come late

Change: campaign_now to the follower with the most entries, whose vote requests are not barred; the listener counts open requests until its deadline.

--- a/src/include/redwingwheel/replication.h
+++ b/src/include/redwingwheel/replication.h
@@ -156,7 +156,8 @@
     void promote(replica_id id, status_done done);
     void remove(replica_id id, status_done done);
 
-    /// Gives up leadership, for instance before a planned stop. No effect on a follower.
+    /// Gives up leadership, for instance before a planned stop, and asks the follower with the most
+    /// entries to take over. No effect on a follower.
     void resign();
 
     [[nodiscard]] replica_id identity() const;
--- a/src/include/redwingwheel/replication_types.h
+++ b/src/include/redwingwheel/replication_types.h
@@ -132,6 +132,9 @@
     append_answer,
     snapshot_chunk,
     snapshot_answer,
+    /// From a leader that has given up its leadership: the receiver is to stand for election at
+    /// once. Source: Ongaro's thesis, 3.10.
+    campaign_now,
 };
 
 /// A part of a snapshot on its way to a follower, or how far the follower has got.
@@ -164,7 +167,8 @@
     log_index commit;
     /// Number of the leader's round of messages; answers repeat it.
     std::uint64_t round = 0;
-    /// In answers: whether the request was granted.
+    /// In answers: whether the request was granted. In vote requests: the leader of the term before
+    /// has given up its leadership, so that nobody relies on votes being withheld.
     bool accepted = false;
     std::vector<log_entry> entries;
     snapshot_part part;
--- a/src/libhttp/http_server.cpp
+++ b/src/libhttp/http_server.cpp
@@ -358,7 +358,10 @@
     constexpr milliseconds close_patience{1000};
     const steady_time give_up =
         std::min(deadline, boot_clock::now() + close_patience);
-    while (!state.connected.empty() && boot_clock::now() < give_up) {
+    // A caller may send another request over a connection that is still open.
+    while (boot_clock::now() < deadline &&
+           (state.open_requests > 0 ||
+            (!state.connected.empty() && boot_clock::now() < give_up))) {
         state.idle.wait_for(guard, poll_period);
     }
     return state.open_requests;
--- a/src/libreplication/replica.cpp
+++ b/src/libreplication/replica.cpp
@@ -167,6 +167,8 @@
         return this->on_snapshot_chunk(message);
     case message_kind::snapshot_answer:
         return this->on_snapshot_answer(message);
+    case message_kind::campaign_now:
+        return this->on_campaign_now(message);
     }
 }
 
--- a/src/libreplication/replica_core.h
+++ b/src/libreplication/replica_core.h
@@ -98,8 +98,8 @@
     void reset_election_deadline();
     void reset_retry_deadline();
     void begin_pre_vote();
-    void begin_election();
-    void request_votes(message_kind kind, term_number term);
+    void begin_election(bool leader_resigned = false);
+    void request_votes(message_kind kind, term_number term, bool leader_resigned = false);
     void count_vote(replica_id from);
     /// Makes `record` durable. False when the storage failed and the replica has stopped.
     [[nodiscard]] bool save_vote(const vote_record& record);
@@ -109,6 +109,7 @@
     void become_leader();
     [[nodiscard]] bool bars_votes() const;
     [[nodiscard]] bool is_up_to_date(const log_position& candidate) const;
+    void on_campaign_now(const peer_message& message);
     void on_pre_vote_request(const peer_message& message);
     void on_vote_request(const peer_message& message);
     void on_vote_answer(const peer_message& message, replica_role wanted, term_number term);
--- a/src/libreplication/replica_election.cpp
+++ b/src/libreplication/replica_election.cpp
@@ -95,17 +95,17 @@
     this->request_votes(message_kind::pre_vote_request, this->vote.term + 1);
 }
 
-void replica::core::begin_election()
+void replica::core::begin_election(bool leader_resigned)
 {
     this->role = replica_role::candidate;
     this->leader.reset();
     this->reset_retry_deadline();
     if (this->save_vote({this->vote.term + 1, this->identity})) {
-        this->request_votes(message_kind::vote_request, this->vote.term);
+        this->request_votes(message_kind::vote_request, this->vote.term, leader_resigned);
     }
 }
 
-void replica::core::request_votes(message_kind kind, term_number term)
+void replica::core::request_votes(message_kind kind, term_number term, bool leader_resigned)
 {
     this->votes.clear();
     for (const member& other : this->members()) {
@@ -115,6 +115,7 @@
         peer_message request = this->make_message(kind, other.id);
         request.term = term;
         request.position = this->log.last();
+        request.accepted = leader_resigned;
         this->send(request);
     }
     this->count_vote(this->identity);
@@ -137,6 +138,15 @@
     }
 }
 
+/// Only the leader of the present term may ask for this, and only once it leads no longer.
+void replica::core::on_campaign_now(const peer_message& message)
+{
+    if (message.term == this->vote.term && this->role == replica_role::follower &&
+        this->leader == message.from && this->is_voter(this->identity)) {
+        this->begin_election(true);
+    }
+}
+
 void replica::core::on_pre_vote_request(const peer_message& message)
 {
     peer_message answer = this->make_answer(message_kind::pre_vote_answer, message);
@@ -151,7 +161,8 @@
 void replica::core::on_vote_request(const peer_message& message)
 {
     peer_message answer = this->make_answer(message_kind::vote_answer, message);
-    const bool barred = this->bars_votes() && !this->options.broken.no_pre_vote;
+    const bool barred =
+        this->bars_votes() && !message.accepted && !this->options.broken.no_pre_vote;
     if (message.term > this->vote.term && barred) {
         // Following the term would unseat a leader that works. Source: Ongaro's thesis, 4.2.3.
         return this->send(answer);
--- a/src/libreplication/replica_leader.cpp
+++ b/src/libreplication/replica_leader.cpp
@@ -44,8 +44,23 @@
 
 void replica::core::resign()
 {
-    if (this->role == replica_role::leader) {
-        this->become_follower();
+    if (this->role != replica_role::leader) {
+        return;
+    }
+    const steady_time recent = this->now() - this->options.election_timeout;
+    std::optional<replica_id> successor;
+    log_index most;
+    for (const auto& [id, peer] : this->peers) {
+        const bool reachable = peer.last_contact.has_value() && *peer.last_contact > recent;
+        if (this->is_voter(id) && reachable && (!successor.has_value() || peer.match > most)) {
+            successor = id;
+            most = peer.match;
+        }
+    }
+    this->become_follower();
+    this->votes_barred_until = steady_time();
+    if (successor.has_value()) {
+        this->send(this->make_message(message_kind::campaign_now, *successor));
     }
 }
 
