Settle withdrawn runs: each ends, or is refused once it cannot start

Ruled out: want of room (half of it was free). Change: the leader names withdrawn runs; the supervisor stops each, and refuses it when it is not listed after the stop was acknowledged.

--- a/src/include/redwingwheel/job_messages.h
+++ b/src/include/redwingwheel/job_messages.h
@@ -54,8 +54,11 @@
     std::vector<jobs::run_id> wanted;
     /// Those of them that the worker has not listed yet.
     std::vector<start_order> starts;
+    /// Runs that were given to the worker and are not to go on. Each ends, or is refused once it
+    /// surely cannot start any more.
+    std::vector<jobs::run_id> withdrawn;
     std::uint64_t orders_digest = 0;
-    MSGPACK_DEFINE(term, permit_ms, recorded_ends, wanted, starts, orders_digest)
+    MSGPACK_DEFINE(term, permit_ms, recorded_ends, wanted, starts, withdrawn, orders_digest)
 };
 
 enum class job_operation : std::uint8_t {
--- a/src/include/redwingwheel/supervisor.h
+++ b/src/include/redwingwheel/supervisor.h
@@ -65,6 +65,13 @@
         steady_time sent_at;
     };
 
+    /// A stop order, repeated until the worker acknowledges it.
+    struct tracked_stop {
+        steady_time sent_at;
+        std::optional<steady_time> acknowledged_at;
+        bool refused = false; ///< The run never started and never will.
+    };
+
     void begin_incarnation(const worker_incarnation& incarnation);
     void renew();
     void on_listing(const worker_listing& listing);
@@ -74,6 +81,7 @@
     void on_start_result(const run_id& run, start_result result);
     void refuse(const run_id& run, tracked_start& start, std::string_view reason);
     void settle_starts(const worker_listing& listing);
+    void settle_stops(const worker_listing& listing);
     void poll_now();
     void send_poll();
     void on_answer(const messages::worker_poll_answer& answer, steady_time sent_at);
@@ -101,9 +109,11 @@
     std::set<run_id> wanted;
     std::uint64_t orders_digest = 0;
     std::map<run_id, tracked_start> starts;
-    std::map<run_id, steady_time> stops;
+    std::set<run_id> withdrawn;
+    std::map<run_id, tracked_stop> stops;
 
     bool renewing = false;
+    steady_time renewal_sent_at;
     std::uint64_t renewal = 0;
     std::uint64_t poll_sequence = 0;
     std::uint64_t answered_poll = 0;
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -261,6 +261,7 @@
     std::vector<run_id> unconfirmed;
     for (const run_id& run : this->state.runs_on(worker)) {
         if (!this->decisions.wanted(run)) {
+            made.withdrawn.push_back(run);
             continue;
         }
         made.wanted.push_back(run);
@@ -272,7 +273,8 @@
         }
     }
     made.orders_digest =
-        digest::content_hash(pack(std::make_tuple(made.recorded_ends, made.wanted, unconfirmed)));
+        digest::content_hash(pack(
+        std::make_tuple(made.recorded_ends, made.wanted, unconfirmed, made.withdrawn)));
     return made;
 }
 
--- a/src/libsupervisor/supervisor.cpp
+++ b/src/libsupervisor/supervisor.cpp
@@ -15,6 +15,14 @@
 /// Ended incarnations named in polls; older ones have been seen by the leader or have lapsed.
 constexpr std::size_t ended_kept = 8;
 
+bool is_listed(const worker_listing& listing, const run_id& run)
+{
+    return std::any_of(listing.running.begin(), listing.running.end(),
+                       [&run](const run_progress& each) { return each.run == run; }) ||
+           std::any_of(listing.ends.begin(), listing.ends.end(),
+                       [&run](const listed_end& each) { return each.run == run; });
+}
+
 std::string text_of(const run_id& run)
 {
     return fmt::format("{}.{}.{}.{} run={}", run.task.job, run.task.occurrence, run.task.step,
@@ -113,6 +121,7 @@
     this->has_orders = false;
     this->wanted.clear();
     this->starts.clear();
+    this->withdrawn.clear();
     this->stops.clear();
     this->orders_digest = 0;
     this->last_sequence = 0;
@@ -163,6 +172,7 @@
             std::min(*limit, *this->worker_clock + this->options.longest_lease.count());
     }
     const std::uint64_t number = ++this->renewal;
+    this->renewal_sent_at = this->clock();
     this->port.renew(order, [this, number](const absl::StatusOr<worker_listing>& listing) {
         if (number != this->renewal) {
             return;
@@ -202,6 +212,7 @@
         news |= this->ends.emplace(end.number, end).second;
     }
     this->settle_starts(listing);
+    this->settle_stops(listing);
     this->stop_unwanted();
     if (news) {
         this->poll_now();
@@ -210,14 +221,8 @@
 
 void supervisor::settle_starts(const worker_listing& listing)
 {
-    const auto is_listed = [&listing](const run_id& run) {
-        return std::any_of(listing.running.begin(), listing.running.end(),
-                           [&run](const run_progress& each) { return each.run == run; }) ||
-               std::any_of(listing.ends.begin(), listing.ends.end(),
-                           [&run](const listed_end& each) { return each.run == run; });
-    };
     for (auto& [run, start] : this->starts) {
-        if (start.refused || start.in_flight || is_listed(run)) {
+        if (start.refused || start.in_flight || is_listed(listing, run)) {
             continue;
         }
         if (start.deadline == 0) {
@@ -238,29 +243,55 @@
     if (!this->has_orders) {
         return;
     }
-    const steady_time now = this->clock();
+    std::set<run_id> unwanted = this->withdrawn;
     for (const run_progress& each : this->running) {
-        if (this->wanted.contains(each.run)) {
-            continue;
+        if (!this->wanted.contains(each.run)) {
+            unwanted.insert(each.run);
         }
-        steady_time& sent = this->stops[each.run];
-        if (now > sent + this->options.retry_unanswered) {
-            sent = now;
-            this->send_stop(each.run);
+    }
+    std::erase_if(this->stops,
+                  [&unwanted](const auto& each) { return !unwanted.contains(each.first); });
+    const steady_time now = this->clock();
+    for (const run_id& run : unwanted) {
+        tracked_stop& stop = this->stops[run];
+        if (!stop.acknowledged_at.has_value() &&
+            now > stop.sent_at + this->options.retry_unanswered) {
+            stop.sent_at = now;
+            this->send_stop(run);
         }
     }
-    std::erase_if(this->stops, [now](const auto& each) {
-        return now > each.second + std::chrono::seconds(30);
-    });
+}
+
+/// A run that is not there after its stop was acknowledged cannot start any more.
+void supervisor::settle_stops(const worker_listing& listing)
+{
+    for (auto& [run, stop] : this->stops) {
+        if (stop.refused || !stop.acknowledged_at.has_value() ||
+            this->renewal_sent_at < *stop.acknowledged_at || is_listed(listing, run) ||
+            !this->withdrawn.contains(run)) {
+            continue;
+        }
+        stop.refused = true;
+        spdlog::info("event=start_refused task={} worker={} reason=withdrawn", text_of(run),
+                     this->worker->incarnation.id);
+        this->poll_now();
+    }
 }
 
 void supervisor::send_stop(const run_id& run)
 {
     spdlog::info("event=run_stopping task={} worker={} term={}", text_of(run),
                  this->worker->incarnation.id, this->term);
-    this->port.stop_run({this->worker->incarnation, run, this->term}, [run](bool acknowledged) {
+    const worker_incarnation of = this->worker->incarnation;
+    this->port.stop_run({of, run, this->term}, [this, run, of](bool acknowledged) {
         if (!acknowledged) {
-            spdlog::warn("event=stop_unanswered task={}", text_of(run));
+            spdlog::warn("event=stop_unanswered task={} worker={}", text_of(run), of.id);
+            return;
+        }
+        const auto found = this->stops.find(run);
+        if (found != this->stops.end() && this->worker.has_value() &&
+            this->worker->incarnation == of) {
+            found->second.acknowledged_at = this->clock();
         }
     });
 }
@@ -383,6 +414,11 @@
             poll.refused.push_back({run, start.reason});
         }
     }
+    for (const auto& [run, stop] : this->stops) {
+        if (stop.refused) {
+            poll.refused.push_back({run, "withdrawn"});
+        }
+    }
     poll.ended.assign(this->ended.begin(), this->ended.end());
     poll.orders_digest = this->orders_digest;
     ++this->polls_in_flight;
@@ -429,6 +465,7 @@
     this->orders_digest = answer.orders_digest;
     this->recorded_ends = std::max(this->recorded_ends, answer.recorded_ends);
     this->wanted = std::set<run_id>(answer.wanted.begin(), answer.wanted.end());
+    this->withdrawn = std::set<run_id>(answer.withdrawn.begin(), answer.withdrawn.end());
     std::erase_if(this->starts, [this](const auto& each) {
         return !this->wanted.contains(each.first) && !each.second.in_flight;
     });
