--- a/src/libhttp/http_test.cpp
+++ b/src/libhttp/http_test.cpp
@@ -23,9 +23,9 @@
 
 namespace {
 
-steady_time in(milliseconds time)
+redwingwheel::steady_time in(milliseconds time)
 {
-    return boot_clock::now() + time;
+    return redwingwheel::boot_clock::now() + time;
 }
 
 wire::address free_address()
--- a/src/libkernel/kernel_test.cpp
+++ b/src/libkernel/kernel_test.cpp
@@ -42,7 +42,7 @@
     services.add(std::make_unique<recording_service>("a", events));
     services.add(std::make_unique<recording_service>("b", events));
     REQUIRE(services.start().ok());
-    services.drain_and_stop(boot_clock::now());
+    services.drain_and_stop(redwingwheel::boot_clock::now());
     REQUIRE(events == std::vector<std::string>{"start a", "start b", "drain b", "drain a", "stop b",
                                                "stop a"});
 }
--- a/src/libmembership/gang_coordinator_test.cpp
+++ b/src/libmembership/gang_coordinator_test.cpp
@@ -204,7 +204,7 @@
     fixture control;
     control.release();
     control.report_both(member_report_kind::running);
-    const steady_time now = control.clock.now();
+    const redwingwheel::steady_time now = control.clock.now();
     control.leader.reclaim("job", now + 1000ms, now + 1500ms);
     CHECK(control.sends("w1", gang_command_kind::checkpoint));
     control.clock.advance(1000ms);
--- a/src/libmembership/permit_test.cpp
+++ b/src/libmembership/permit_test.cpp
@@ -27,7 +27,7 @@
 {
     manual_clock clock;
     permit_holder holder(clock.function());
-    const steady_time sent_at = clock.now();
+    const redwingwheel::steady_time sent_at = clock.now();
     clock.advance(1000ms);
     REQUIRE(holder.accept(in_service(1, 1), sent_at, 1).kind == permit_verdict_kind::accepted);
     clock.advance(1969ms);
@@ -54,7 +54,7 @@
 {
     manual_clock clock;
     permit_holder holder(clock.function());
-    const steady_time first = clock.now();
+    const redwingwheel::steady_time first = clock.now();
     static_cast<void>(holder.accept(in_service(5, 1), first, 1));
     clock.advance(500ms);
     CHECK(holder.accept(taken_out(7, 1), clock.now(), 1).kind == permit_verdict_kind::accepted);
--- a/src/libplacement/property_test.cpp
+++ b/src/libplacement/property_test.cpp
@@ -89,11 +89,11 @@
     if (wanted == nullptr) {
         return;
     }
-    const steady_time end =
-        boot_clock::now() + std::chrono::seconds(std::atoi(wanted));
+    const redwingwheel::steady_time end =
+        redwingwheel::boot_clock::now() + std::chrono::seconds(std::atoi(wanted));
     std::random_device fresh;
     std::uint64_t histories = 0;
-    while (boot_clock::now() < end) {
+    while (redwingwheel::boot_clock::now() < end) {
         const std::uint64_t seed = (std::uint64_t{fresh()} << 32) | fresh();
         const std::string broken = run(seed, {});
         ++histories;
--- a/src/libreplication/group_test.cpp
+++ b/src/libreplication/group_test.cpp
@@ -31,7 +31,7 @@
         cluster.run(milliseconds(1000 + cluster.random(500)));
         cluster.stop_host(*first, test_cluster::after_stop::keep_cache, 10 * permit_life);
         cluster.run(milliseconds(1));
-        const steady_time killed = cluster.now();
+        const redwingwheel::steady_time killed = cluster.now();
         REQUIRE(wait_for_leader(cluster, permit_life).has_value());
         lengths.push_back(std::chrono::duration_cast<milliseconds>(cluster.now() - killed));
     }
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -355,6 +355,18 @@
         answer(pack(messages::job_answer{verdict, {}, 0, ""}));
         return;
     }
+    const step_definition& first = call.definition.steps.front();
+    spdlog::info("event=job_submitted job={} queue={} account={} steps={} tasks={} cpu_millis={} "
+                 "accelerators={} gang={} same_rack={} resumable={} estimate_ms={} occurrences={} "
+                 "configuration={}",
+                 call.job, this->state.route(call.host, call.path)->name,
+                 this->state.account_of(call.key) == nullptr
+                     ? ""
+                     : this->state.account_of(call.key)->name,
+                 call.definition.steps.size(), first.tasks, first.each.cpu_millis,
+                 first.each.accelerators, first.gang, first.same_rack, first.resumable,
+                 first.estimate_ms, call.definition.occurrences,
+                 this->state.configuration().version);
     this->serve_change(call,
                        submit_job{call.job, call.host, call.path, call.key, call.definition,
                                   unix_ms()},
--- a/src/libwire/rpc_test.cpp
+++ b/src/libwire/rpc_test.cpp
@@ -19,9 +19,9 @@
 constexpr std::uint16_t echo_kind = 1;
 constexpr std::uint16_t never_answered_kind = 2;
 
-steady_time in(milliseconds time)
+redwingwheel::steady_time in(milliseconds time)
 {
-    return boot_clock::now() + time;
+    return redwingwheel::boot_clock::now() + time;
 }
 
 wire::address free_address()
@@ -153,9 +153,9 @@
     options.probe_after = milliseconds(50);
     options.abandon_after = milliseconds(200);
     wire::rpc_client client(loop, {"127.0.0.1", mute.local_endpoint().port()}, "secret", options);
-    const steady_time begun = boot_clock::now();
+    const redwingwheel::steady_time begun = redwingwheel::boot_clock::now();
     REQUIRE(failure(call(client, echo_kind, "x", milliseconds(10000))) ==
             wire::wire_errc::not_sent);
-    REQUIRE(boot_clock::now() - begun < milliseconds(5000));
+    REQUIRE(redwingwheel::boot_clock::now() - begun < milliseconds(5000));
     REQUIRE(client.statistics().closed_silent == 1);
 }
--- a/src/redwingwheel-bench-control/main.cpp
+++ b/src/redwingwheel-bench-control/main.cpp
@@ -37,17 +37,17 @@
 /// No new size is begun after this time.
 constexpr std::chrono::seconds time_bound{70};
 
-double seconds_since(steady_time start)
+double seconds_since(redwingwheel::steady_time start)
 {
-    return std::chrono::duration<double>(boot_clock::now() - start).count();
+    return std::chrono::duration<double>(redwingwheel::boot_clock::now() - start).count();
 }
 
 /// Waits until `reached`, at most `patience`; returns the time that it took, s.
 std::optional<double> wait_until(milliseconds patience, const std::function<bool()>& reached)
 {
-    const steady_time start = boot_clock::now();
+    const redwingwheel::steady_time start = redwingwheel::boot_clock::now();
     while (!reached()) {
-        if (boot_clock::now() - start > patience) {
+        if (redwingwheel::boot_clock::now() - start > patience) {
             return std::nullopt;
         }
         std::this_thread::sleep_for(check_period);
@@ -148,7 +148,7 @@
 void measure_notes(control_caller& caller, fleet_result& result, std::uint64_t& revision)
 {
     for (std::size_t run = 0; run < notes_timed; ++run) {
-        const steady_time start = boot_clock::now();
+        const redwingwheel::steady_time start = redwingwheel::boot_clock::now();
         const nlohmann::json answer =
             caller.post("/v1/releases", "wait_ms=10000", weight_note(revision));
         if (!answer.value("in_force", false)) {
@@ -163,9 +163,9 @@
 
 void measure_note_rate(control_caller& caller, std::uint64_t& revision)
 {
-    const steady_time start = boot_clock::now();
+    const redwingwheel::steady_time start = redwingwheel::boot_clock::now();
     std::size_t notes = 0;
-    while (boot_clock::now() - start < note_window) {
+    while (redwingwheel::boot_clock::now() - start < note_window) {
         if (caller.post("/v1/releases", "", weight_note(revision)).is_null()) {
             fmt::print("a note was refused\n");
             return;
@@ -204,12 +204,12 @@
     const std::uint16_t port = control->address().port;
     control->stop();
     control.reset();
-    const steady_time start = boot_clock::now();
+    const redwingwheel::steady_time start = redwingwheel::boot_clock::now();
     control = std::make_unique<control_under_test>(folder, port);
     const absl::Status started = control->start();
     const double leads_s = seconds_since(start);
     const cost_sample at_lead = control->sample();
-    const steady_time lead = boot_clock::now();
+    const redwingwheel::steady_time lead = redwingwheel::boot_clock::now();
     const std::optional<double> all_s =
         wait_until(announce_patience, [&fleet, lead] { return fleet.read().oldest_answer > lead; });
     const cost_sample at_all = control->sample();
@@ -402,7 +402,7 @@
 
 int run(const std::filesystem::path& folder, double length)
 {
-    const steady_time start = boot_clock::now();
+    const redwingwheel::steady_time start = redwingwheel::boot_clock::now();
     print_command_sizes();
     measure_rebuilds();
     fmt::print("\n{:>7} {:<6} {:>8} {:>9} {:>15} {:>9} {:>9} {:>9} {:>8} {:>8}\n", "agents",
@@ -410,7 +410,7 @@
                "B out");
     std::vector<fleet_result> results;
     for (const std::size_t agents : fleet_sizes) {
-        if (boot_clock::now() - start > time_bound) {
+        if (redwingwheel::boot_clock::now() - start > time_bound) {
             fmt::print("{} agents: not measured, out of time\n", agents);
             continue;
         }
--- a/src/redwingwheel-bench-replication/main.cpp
+++ b/src/redwingwheel-bench-replication/main.cpp
@@ -23,9 +23,9 @@
 
 using seconds_double = std::chrono::duration<double>;
 
-double seconds_since(steady_time start)
+double seconds_since(redwingwheel::steady_time start)
 {
-    return seconds_double(boot_clock::now() - start).count();
+    return seconds_double(redwingwheel::boot_clock::now() - start).count();
 }
 
 std::vector<std::string> make_commands(std::size_t count)
@@ -51,7 +51,7 @@
     const std::vector<std::string> commands = make_commands(batch);
     group.commit_batch(commands);
     const std::uint64_t bytes_before = group.bytes_to_followers();
-    const steady_time start = boot_clock::now();
+    const redwingwheel::steady_time start = redwingwheel::boot_clock::now();
     std::size_t batches = 0;
     while (seconds_since(start) < length) {
         group.commit_batch(commands);
@@ -91,7 +91,7 @@
             group.commit_batch(make_commands(std::min(recovery_batch, entries - written)));
         }
     }
-    const steady_time start = boot_clock::now();
+    const redwingwheel::steady_time start = redwingwheel::boot_clock::now();
     bench_group group(own, 1, options);
     start_or_exit(group);
     const double elapsed_ms = seconds_since(start) * 1000;
--- a/src/redwingwheel-faults/main.cpp
+++ b/src/redwingwheel-faults/main.cpp
@@ -83,8 +83,8 @@
     if (!read_settings(argc, argv, chosen)) {
         return exit_bad_input;
     }
-    const steady_time end =
-        boot_clock::now() + std::chrono::seconds(chosen.seconds);
+    const redwingwheel::steady_time end =
+        redwingwheel::boot_clock::now() + std::chrono::seconds(chosen.seconds);
     totals total;
     const std::vector<fault_cell> cells = all_cells();
     std::uint64_t seed = static_cast<std::uint64_t>(chosen.seed);
@@ -94,7 +94,7 @@
             if (!chosen.cell.empty() && cell_name(cell) != chosen.cell) {
                 continue;
             }
-            if (chosen.cell.empty() && boot_clock::now() >= end) {
+            if (chosen.cell.empty() && redwingwheel::boot_clock::now() >= end) {
                 on = false;
                 break;
             }
--- a/src/redwingwheel-replay/bench.cpp
+++ b/src/redwingwheel-replay/bench.cpp
@@ -153,7 +153,7 @@
 
 decision_cost cost_of(std::uint32_t workers, std::uint32_t accounts)
 {
-    using clock = boot_clock;
+    using clock = redwingwheel::boot_clock;
     const std::uint64_t before = allocated_bytes();
     redwingwheel::manual_clock time;
     placement::engine engine({}, time.function());
--- a/src/redwingwheelctl/ctl_test.cpp
+++ b/src/redwingwheelctl/ctl_test.cpp
@@ -111,7 +111,7 @@
 
 struct tool_fixture {
     /// Starts at the real time, because libcurl measures its own timeouts by the real clock.
-    redwingwheel::steady_time now = boot_clock::now();
+    redwingwheel::steady_time now = redwingwheel::boot_clock::now();
     int pauses_left = 1000;
 
     tool_run run(std::vector<std::string> arguments)
