Let callers take the last answers of a planned stop; settings reference for the new roles

Cause: found by the new test of late requests: the listener closed as soon as the last answer was queued, so that the caller got nothing. Change: after each answer callers have a second to take it and close. The documents' tests cover the new sections.

--- a/src/include/redwingwheel/settings.h
+++ b/src/include/redwingwheel/settings.h
@@ -10,7 +10,7 @@
 #include "redwingwheel/clock.h"
 #include "redwingwheel/problems.h"
 
-/// The settings of one process, read from YAML. docs/operations.md lists every key.
+/// The settings of one process, read from YAML. docs/OPERATIONS.md lists every key.
 namespace redwingwheel::config {
 
 struct role_set {
--- a/src/libconfig/documents_test.cpp
+++ b/src/libconfig/documents_test.cpp
@@ -42,7 +42,7 @@
 /// The rows "| `key` | allowed | default | meaning |" of the settings reference.
 std::map<std::string, documented_key> documented_keys()
 {
-    const std::string page = read_source("docs/operations.md");
+    const std::string page = read_source("docs/OPERATIONS.md");
     const std::size_t begin = page.find("## Settings reference");
     const std::string section = page.substr(begin, page.find("\n## ", begin) - begin);
     std::map<std::string, documented_key> keys;
@@ -66,7 +66,7 @@
 std::vector<std::string> yaml_blocks()
 {
     std::vector<std::string> blocks;
-    const std::string page = read_source("docs/operations.md");
+    const std::string page = read_source("docs/OPERATIONS.md");
     const std::string fence = "```yaml\n";
     for (std::size_t at = page.find(fence); at != std::string::npos; at = page.find(fence, at)) {
         at += fence.size();
@@ -85,7 +85,7 @@
              {{"name", "a"},
               {"region", "r"},
               {"data_centre", "d"},
-              {"roles", "[entry, control, agent]"},
+              {"roles", "[entry, control, agent, gateway, supervisor]"},
               {"data_folder", "f"},
               {"cluster_secret_file", "s"}}},
             {"log", {{"level", "info"}, {"file", "x"}}},
@@ -107,6 +107,16 @@
               {"memory_mb", "1"},
               {"slots", "1"},
               {"connections", "1"}}},
+            {"cluster",
+             {{"listen", address},
+              {"seeds", "[" + address + "]"},
+              {"port", "1"},
+              {"founding", "true"},
+              {"tolerated_losses", "1"}}},
+            {"gateway",
+             {{"listen", address}, {"readiness", address}, {"administration", address}}},
+            {"supervisor", {{"listen", address}, {"worker", address}, {"lease_ms", "6000"}}},
+            {"metrics", {{"listen", address}}},
             {"timing", {{"poll_ms", "500"}, {"permit_ms", "3000"}, {"drain_ms", "1"}}}};
 }
 
@@ -169,7 +179,8 @@
     }
     std::set<std::string> known;
     for (const char* const section :
-         {"", "log.", "control.", "entry.", "agent.", "timing.", "entry.operators[]."}) {
+         {"", "log.", "control.", "entry.", "agent.", "timing.", "entry.operators[].", "cluster.",
+          "gateway.", "supervisor.", "metrics."}) {
         const std::string path = fmt::format("{}zz", section);
         const std::string allowed = problem_at(problems_with(with_value(path, "1")), path).allowed;
         REQUIRE(allowed.substr(0, 7) == "one of ");
@@ -179,7 +190,8 @@
             at = end + 2;
         }
     }
-    for (const char* const section : {"log", "control", "entry", "agent", "timing"}) {
+    for (const char* const section : {"log", "control", "entry", "agent", "timing", "cluster",
+                                      "gateway", "supervisor", "metrics"}) {
         REQUIRE(known.erase(section) == 1);
     }
     REQUIRE(documented == known);
@@ -191,6 +203,11 @@
     const std::map<std::string, std::string> defaults{
         {"log.level", config::log_settings().level},
         {"log.file", "empty"},
+        {"metrics.listen", "empty"},
+        {"cluster.port", fmt::format("{}", config::cluster_settings().port)},
+        {"cluster.founding", "false"},
+        {"cluster.tolerated_losses",
+         fmt::format("{}", config::cluster_settings().tolerated_losses)},
         {"timing.poll_ms", fmt::format("{}", config::timing_settings().poll.count())},
         {"timing.permit_ms", fmt::format("{}", config::timing_settings().permit.count())},
         {"timing.drain_ms", fmt::format("{}", config::timing_settings().drain.count())}};
--- a/src/libhttp/http_server.cpp
+++ b/src/libhttp/http_server.cpp
@@ -356,12 +356,15 @@
     // Callers close once they have their whole answer; one that keeps its connection idle is not
     // waited for longer than this.
     constexpr milliseconds close_patience{1000};
-    const steady_time give_up =
-        std::min(deadline, boot_clock::now() + close_patience);
-    // A caller may send another request over a connection that is still open.
+    // A caller may send another request over a connection that is still open, and needs time to
+    // take the answer.
+    steady_time give_up = boot_clock::now() + close_patience;
     while (boot_clock::now() < deadline &&
            (state.open_requests > 0 ||
             (!state.connected.empty() && boot_clock::now() < give_up))) {
+        if (state.open_requests > 0) {
+            give_up = boot_clock::now() + close_patience;
+        }
         state.idle.wait_for(guard, poll_period);
     }
     return state.open_requests;
--- a/src/libhttp/http_test.cpp
+++ b/src/libhttp/http_test.cpp
@@ -305,21 +305,26 @@
     const wire::address address = free_address();
     std::promise<http::responder> taken;
     http::server server(late_server::options(),
-                        [&taken](const http::server_request&, http::responder respond) {
+                        [&taken](const http::server_request& request, http::responder respond) {
+                            if (request.path == "/first") {
+                                respond({200, "text/plain", "first", {}});
+                                return;
+                            }
                             taken.set_value(std::move(respond));
                         });
     REQUIRE(server.start(address).ok());
     asio::io_context context;
     tcp::socket socket(context);
     socket.connect(tcp::endpoint(asio::ip::make_address(address.ip), address.port));
-    // Makes the connection known to the server without completing a request.
-    asio::write(socket, asio::buffer(std::string("GET /late HTTP/1.1\r\n")));
+    asio::write(socket, asio::buffer(std::string("GET /first HTTP/1.1\r\nHost: x\r\n\r\n")));
+    std::string first;
+    REQUIRE(asio::read_until(socket, asio::dynamic_buffer(first), "\r\n\r\nfirst") > 0);
     std::thread stopping([&server] {
         server.wait_until_idle(in(milliseconds(5000)));
         server.stop();
     });
     std::this_thread::sleep_for(milliseconds(300));
-    asio::write(socket, asio::buffer(std::string("Host: x\r\n\r\n")));
+    asio::write(socket, asio::buffer(std::string("GET /late HTTP/1.1\r\nHost: x\r\n\r\n")));
     http::responder respond = taken.get_future().get();
     // Longer than the listener waits for idle connections.
     std::this_thread::sleep_for(milliseconds(1200));
