Open the storage of a stopped replica again

Change: the group service opens the storage again each second and applies the log from the beginning.

--- a/src/include/redwingwheel/group_service.h
+++ b/src/include/redwingwheel/group_service.h
@@ -25,6 +25,8 @@
     std::function<void(std::uint64_t index, const std::string& command)> apply;
     std::function<std::string()> take_snapshot;
     std::function<absl::Status(std::string_view)> restore_snapshot;
+    /// Forgets all state: it is applied again from the beginning.
+    std::function<void()> reset;
     /// The replica began to lead in `term`, or leads no longer.
     std::function<void(bool leads, std::uint64_t term)> leadership_changed;
 };
@@ -70,6 +72,7 @@
 
 private:
     [[nodiscard]] absl::Status open_replica();
+    void reopen_stopped_replica();
     [[nodiscard]] replication::replica_hooks replica_hooks();
     void on_request(wire::incoming_request request, const wire::reply_function& reply);
     void serve_request(wire::incoming_request request, const wire::reply_function& reply);
@@ -121,6 +124,8 @@
     steady_time last_new_peer;
     steady_time next_introduction;
     steady_time next_seat_step;
+    /// Set while the replica is stopped: when its storage is opened again.
+    std::optional<steady_time> reopen_at;
 };
 
 } // namespace redwingwheel::cluster
--- a/src/libcluster/group_service.cpp
+++ b/src/libcluster/group_service.cpp
@@ -26,6 +26,8 @@
 constexpr milliseconds founding_settles{600};
 /// The next seed in order chooses the founder when those before it stay silent.
 constexpr milliseconds founding_turn{3000};
+/// A storage that failed is opened again after this long; full disks are cleared in seconds.
+constexpr milliseconds reopen_wait{1000};
 constexpr milliseconds seat_step_period{200};
 constexpr milliseconds peer_call_patience{2000};
 /// Peers that were not heard of for this long are not passed on.
@@ -216,7 +218,9 @@
     this->flush_scheduled = true;
     this->loop.post([this] {
         this->flush_scheduled = false;
-        this->replica->flush();
+        if (this->replica != nullptr) {
+            this->replica->flush();
+        }
     });
 }
 
@@ -448,6 +452,7 @@
         return;
     }
     const steady_time now = boot_clock::now();
+    this->reopen_stopped_replica();
     if (this->replica != nullptr) {
         this->replica->tick();
         if (this->draining && this->leads()) {
@@ -468,6 +473,37 @@
     }
 }
 
+/// A storage takes nothing more after a failed write or sync. What is on the disk is read again, so
+/// that nothing that was not synced is relied on.
+void group_service::reopen_stopped_replica()
+{
+    const steady_time now = boot_clock::now();
+    if (this->replica != nullptr &&
+        this->replica->status().role == replication::replica_role::stopped) {
+        spdlog::error("event=replica_stopped reason=\"{}\"",
+                      this->replica->status().stopped_reason);
+        if (this->led) {
+            this->led = false;
+            this->application.leadership_changed(false, this->replica->status().term.value);
+        }
+        this->replica.reset();
+        this->reopen_at = now + reopen_wait;
+    }
+    if (!this->reopen_at.has_value() || now < *this->reopen_at) {
+        return;
+    }
+    this->application.reset();
+    const absl::Status opened = this->open_replica();
+    if (opened.ok()) {
+        spdlog::info("event=replica_reopened has_state={}", this->replica->has_state());
+        this->reopen_at.reset();
+        return;
+    }
+    spdlog::warn("event=replica_not_reopened error=\"{}\"", errors::message_of(opened));
+    this->replica.reset();
+    this->reopen_at = now + reopen_wait;
+}
+
 void group_service::introduce()
 {
     const messages::hello greeting{this->own_info(), this->replica_addresses()};
--- /dev/null
+++ b/src/libcluster/group_service_test.cpp
@@ -0,0 +1,135 @@
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <filesystem>
+#include <future>
+#include <thread>
+
+#include <sys/resource.h>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "redwingwheel/group_service.h"
+
+using namespace redwingwheel;
+
+namespace {
+
+std::string free_address()
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(
+        context, boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+/// Lets this process's writes to files fail, as a full disk does.
+class full_disk {
+public:
+    full_disk()
+    {
+        std::signal(SIGXFSZ, SIG_IGN);
+        getrlimit(RLIMIT_FSIZE, &this->before);
+        rlimit none = this->before;
+        none.rlim_cur = 1;
+        setrlimit(RLIMIT_FSIZE, &none);
+    }
+    ~full_disk() { setrlimit(RLIMIT_FSIZE, &this->before); }
+    full_disk(const full_disk&) = delete;
+    full_disk& operator=(const full_disk&) = delete;
+
+private:
+    rlimit before{};
+};
+
+/// A group of one replica whose state is the list of its commands.
+class lone_group {
+public:
+    lone_group()
+    {
+        std::string name = (std::filesystem::temp_directory_path() / "group-XXXXXX").string();
+        REQUIRE(mkdtemp(name.data()) != nullptr);
+        this->folder = name;
+        config::settings settings;
+        settings.name = "alone";
+        settings.data_centre = "dc";
+        settings.data_folder = this->folder / "data";
+        settings.cluster.listen = free_address();
+        settings.cluster.seeds = {settings.cluster.listen};
+        settings.cluster.founding = true;
+        settings.cluster.tolerated_losses = 0;
+        std::filesystem::create_directory(settings.data_folder);
+        this->group = std::make_unique<cluster::group_service>(settings, "secret", this->loop,
+                                                               this->traffic);
+        cluster::group_application application;
+        application.apply = [this](std::uint64_t, const std::string& command) {
+            this->applied.push_back(command);
+        };
+        application.take_snapshot = [] { return std::string(); };
+        application.restore_snapshot = [](std::string_view) { return absl::OkStatus(); };
+        application.reset = [this] { this->applied.clear(); };
+        application.leadership_changed = [](bool, std::uint64_t) {};
+        this->group->host(std::move(application));
+        this->loop.start();
+        this->traffic.start();
+        REQUIRE(this->group->start().ok());
+    }
+    ~lone_group()
+    {
+        this->group->stop();
+        this->loop.stop();
+        this->traffic.stop();
+        std::filesystem::remove_all(this->folder);
+    }
+    lone_group(const lone_group&) = delete;
+    lone_group& operator=(const lone_group&) = delete;
+
+    bool wait_for_leadership()
+    {
+        constexpr std::chrono::seconds limit{20};
+        const steady_time end = boot_clock::now() + limit;
+        bool leads = false;
+        while (!leads && boot_clock::now() < end) {
+            std::this_thread::sleep_for(milliseconds(20));
+            this->loop.run_and_wait([this, &leads] { leads = this->group->leads(); });
+        }
+        return leads;
+    }
+
+    absl::Status propose(const std::string& command)
+    {
+        std::promise<absl::Status> result;
+        this->loop.post([this, &command, &result] {
+            this->group->propose(command,
+                                 [&result](const absl::StatusOr<replication::log_index>& at) {
+                                     result.set_value(at.status());
+                                 });
+        });
+        return result.get_future().get();
+    }
+
+    std::filesystem::path folder;
+    kernel::control_loop loop;
+    kernel::traffic_loop traffic;
+    std::unique_ptr<cluster::group_service> group;
+    std::vector<std::string> applied;
+};
+
+} // namespace
+
+// Failure: a replica whose disk failed for a moment never votes again, and the next loss stops the
+// group.
+TEST_CASE("a replica whose storage failed opens it again")
+{
+    lone_group group;
+    REQUIRE(group.wait_for_leadership());
+    REQUIRE(group.propose("first").ok());
+    {
+        const full_disk full;
+        CHECK_FALSE(group.propose("lost").ok());
+    }
+    REQUIRE(group.wait_for_leadership());
+    REQUIRE(group.propose("second").ok());
+    CHECK(std::count(group.applied.begin(), group.applied.end(), "first") == 1);
+    CHECK(group.applied.back() == "second");
+}
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -73,6 +73,10 @@
     application.restore_snapshot = [this](std::string_view bytes) {
         return this->state.restore_snapshot(bytes);
     };
+    application.reset = [this] {
+        this->state = job_state();
+        this->verdicts.clear();
+    };
     application.leadership_changed = [this](bool leads, std::uint64_t of_term) {
         this->on_leadership(leads, of_term);
     };
