Bound the log and never wait for it

Cause: each line was written by the thread that decided; a reader that stalls would have stopped decisions. Change: a queue of 1,024 lines that drops the oldest, and at most 200 lines a second of each kind, with a count of what was left out.

--- a/src/redwingwheeld/main.cpp
+++ b/src/redwingwheeld/main.cpp
@@ -5,11 +5,13 @@
 #include <sstream>
 
 #include <popt.h>
+#include <spdlog/async.h>
 #include <spdlog/sinks/basic_file_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 #include "daemon.h"
+#include "redwingwheel/bounded_log_sink.h"
 #include "redwingwheel/settings.h"
 
 namespace {
@@ -64,15 +66,24 @@
     return text.str();
 }
 
+/// Lines that wait to be written; when more come, the oldest are dropped and nobody waits.
+constexpr std::size_t log_queue_lines = 1024;
+
 void set_up_log(const redwingwheel::config::settings& settings)
 {
-    std::shared_ptr<spdlog::logger> logger;
+    std::shared_ptr<spdlog::sinks::sink> target;
     if (settings.log.file.empty()) {
-        logger = spdlog::stdout_logger_mt("redwingwheel");
+        target = std::make_shared<spdlog::sinks::stdout_sink_mt>();
     }
     else {
-        logger = spdlog::basic_logger_mt("redwingwheel", settings.log.file);
+        target = std::make_shared<spdlog::sinks::basic_file_sink_mt>(settings.log.file);
     }
+    spdlog::init_thread_pool(log_queue_lines, 1);
+    const std::shared_ptr<spdlog::logger> logger = std::make_shared<spdlog::async_logger>(
+        "redwingwheel",
+        std::make_shared<redwingwheel::logs::bounded_log_sink>(
+            target, redwingwheel::logs::log_limits(), redwingwheel::system_clock_function()),
+        spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
     logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e level=%l process=" + settings.name + " %v");
     logger->set_level(spdlog::level::from_str(settings.log.level));
     logger->flush_on(spdlog::level::info);
@@ -139,6 +150,7 @@
     spdlog::info("event=stopping signal={}", received);
     process.drain_and_stop();
     spdlog::info("event=stopped");
+    spdlog::shutdown();
     return exit_done;
 }
 
