--- a/src/include/redwingwheel/job_gateway.h
+++ b/src/include/redwingwheel/job_gateway.h
@@ -26,8 +26,9 @@
 [[nodiscard]] absl::StatusCode error_category(gateway_errc code);
 
 struct gateway_options {
-    /// A call that finds no leader is refused after this long: callers have shorter ways to wait.
-    milliseconds call_patience{700};
+    /// A call that finds no leader is refused after this long: most elections are over by then, and
+    /// it is less than a third of the time that callers have.
+    milliseconds call_patience{950};
     /// The gateway asks the leader for a sign of life this often.
     milliseconds probe_period{500};
     /// Without an answer of a leader for this long the gateway is not ready.
