--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 	@src/build-scripts/bench.sh $(BUILD)/bin $(BUILD)/bench
 
 format:
-	@find src -name '*.h' -o -name '*.cpp' | xargs clang-format -i
+	@find src platform -name '*.h' -o -name '*.cpp' | xargs clang-format -i
 
 check: configure
 	@src/build-scripts/check_format.sh
--- a/src/build-scripts/check_format.sh
+++ b/src/build-scripts/check_format.sh
@@ -2,5 +2,5 @@
 # Fails when a source file differs from what clang-format makes of it.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
-find src -name '*.h' -o -name '*.cpp' | sort | xargs clang-format --dry-run --Werror
+find src platform -name '*.h' -o -name '*.cpp' | sort | xargs clang-format --dry-run --Werror
 echo "format: clean"
--- a/src/build-scripts/check_lint.sh
+++ b/src/build-scripts/check_lint.sh
@@ -11,9 +11,9 @@
 if [ "$#" -gt 0 ]; then
     files=("$@")
 else
-    mapfile -t files < <(find src -name '*.cpp' | sort)
+    mapfile -t files < <(find src platform -name '*.cpp' | sort)
 fi
-headers_digest=$(find src -name '*.h' | sort | xargs cat .clang-tidy | sha256sum | cut -d' ' -f1)
+headers_digest=$(find src platform -name '*.h' | sort | xargs cat .clang-tidy | sha256sum | cut -d' ' -f1)
 
 lint_file() {
     local file=$1 digest
--- a/src/include/redwingwheel/job_model.h
+++ b/src/include/redwingwheel/job_model.h
@@ -90,7 +90,7 @@
     std::string service;
     std::uint32_t priority = 0; ///< 0 is the most urgent and may preempt others.
     std::uint32_t max_attempts = 1;
-    double stretch = 1.0; ///< Objective: this many times the job's chain of work ...
+    double stretch = 1.0;               ///< Objective: this many times the job's chain of work ...
     std::int64_t latency_target_ms = 0; ///< ... and this much more.
     bool open = false;                  ///< Needs no key.
 
--- a/src/include/redwingwheel/scheduler_service.h
+++ b/src/include/redwingwheel/scheduler_service.h
@@ -34,6 +34,7 @@
     };
 
     void apply(std::uint64_t index, const std::string& command);
+    void log_ended_jobs(const record_ends& command) const;
     void on_leadership(bool leads, std::uint64_t term);
     void propose(const job_command& command, command_done done);
 
--- a/src/include/redwingwheel/settings.h
+++ b/src/include/redwingwheel/settings.h
@@ -66,10 +66,10 @@
 
 /// Processes that find each other from seeds. Used by the roles gateway and supervisor.
 struct cluster_settings {
-    std::string listen;             ///< IP:port for other processes. Empty for a supervisor.
-    std::vector<std::string> seeds; ///< IP:port of processes that may know others; never empty.
-    std::uint16_t port = 0;         ///< Unless 0, takes the place of the port in each seed.
-    bool founding = false;          ///< Part of a new deployment: may found the group.
+    std::string listen;                 ///< IP:port for other processes. Empty for a supervisor.
+    std::vector<std::string> seeds;     ///< IP:port of processes that may know others; never empty.
+    std::uint16_t port = 0;             ///< Unless 0, takes the place of the port in each seed.
+    bool founding = false;              ///< Part of a new deployment: may found the group.
     std::uint32_t tolerated_losses = 1; ///< Replicas that may be lost at once.
 };
 
@@ -82,8 +82,8 @@
 
 /// Runs tasks on the worker beside it.
 struct supervisor_settings {
-    std::string listen; ///< IP:port where the worker announces itself.
-    std::string worker; ///< IP:port of the worker.
+    std::string listen;       ///< IP:port where the worker announces itself.
+    std::string worker;       ///< IP:port of the worker.
     milliseconds lease{6000}; ///< Longest lease that the worker grants.
 };
 
--- a/src/libclient/leader_client.cpp
+++ b/src/libclient/leader_client.cpp
@@ -49,8 +49,7 @@
     bool may_have_run = false;
 };
 
-leader_client::leader_client(kernel::control_loop& control_loop,
-                             kernel::traffic_loop& traffic_loop,
+leader_client::leader_client(kernel::control_loop& control_loop, kernel::traffic_loop& traffic_loop,
                              std::span<const std::string> addresses,
                              std::string_view cluster_secret)
     : loop(control_loop), traffic(traffic_loop), secret(cluster_secret)
@@ -69,8 +68,8 @@
             continue;
         }
         if (!this->place_of(each).has_value()) {
-            this->replicas.push_back(std::make_unique<wire::rpc_client>(this->traffic, *parsed,
-                                                                        this->secret, options));
+            this->replicas.push_back(
+                std::make_unique<wire::rpc_client>(this->traffic, *parsed, this->secret, options));
         }
     }
 }
@@ -107,8 +106,8 @@
     kernel::control_loop& control = this->loop;
     for (const std::unique_ptr<wire::rpc_client>& each : this->replicas) {
         each->call(static_cast<std::uint16_t>(kind), body, deadline,
-                   [&control, still, done, address = wire::to_string(each->remote())](
-                       absl::StatusOr<std::string> reply) {
+                   [&control, still, done,
+                    address = wire::to_string(each->remote())](absl::StatusOr<std::string> reply) {
                        if (!reply.ok()) {
                            return;
                        }
--- a/src/libcluster/group_service.cpp
+++ b/src/libcluster/group_service.cpp
@@ -129,8 +129,7 @@
         this->client->learn(this->replica_addresses());
     }
     if (!this->settings.cluster.listen.empty()) {
-        const absl::StatusOr<wire::address> on =
-            wire::parse_address(this->settings.cluster.listen);
+        const absl::StatusOr<wire::address> on = wire::parse_address(this->settings.cluster.listen);
         if (!on.ok()) {
             return on.status();
         }
@@ -368,15 +367,14 @@
     answer.self = this->own_info();
     answer.replicas = this->replica_addresses();
     answer.leader = this->leader_address();
-    answer.term = this->replica == nullptr ? this->client->term()
-                                           : this->replica->status().term.value;
+    answer.term =
+        this->replica == nullptr ? this->client->term() : this->replica->status().term.value;
     return pack(answer);
 }
 
 void group_service::serve_found_group(const wire::incoming_request& request)
 {
-    const std::optional<messages::found_group> order =
-        read_message<messages::found_group>(request);
+    const std::optional<messages::found_group> order = read_message<messages::found_group>(request);
     if (!order.has_value() || this->replica == nullptr || this->replica->has_state() ||
         !this->settings.cluster.founding) {
         return;
@@ -507,22 +505,22 @@
 void group_service::introduce()
 {
     const messages::hello greeting{this->own_info(), this->replica_addresses()};
-    this->client->broadcast(
-        messages::kind::hello, pack(greeting), boot_clock::now() + introduction_patience,
-        [this](const std::string&, const std::string& body) {
-            const absl::StatusOr<messages::hello_answer> answer =
-                unpack<messages::hello_answer>(body);
-            if (!answer.ok()) {
-                spdlog::warn("event=hello_unreadable error=\"{}\"",
-                             errors::message_of(answer.status()));
-                return;
-            }
-            this->note_peer(answer->self);
-            this->client->learn(answer->replicas);
-            if (!answer->leader.empty()) {
-                this->client->follow(answer->leader, answer->term);
-            }
-        });
+    this->client->broadcast(messages::kind::hello, pack(greeting),
+                            boot_clock::now() + introduction_patience,
+                            [this](const std::string&, const std::string& body) {
+                                const absl::StatusOr<messages::hello_answer> answer =
+                                    unpack<messages::hello_answer>(body);
+                                if (!answer.ok()) {
+                                    spdlog::warn("event=hello_unreadable error=\"{}\"",
+                                                 errors::message_of(answer.status()));
+                                    return;
+                                }
+                                this->note_peer(answer->self);
+                                this->client->learn(answer->replicas);
+                                if (!answer->leader.empty()) {
+                                    this->client->follow(answer->leader, answer->term);
+                                }
+                            });
 }
 
 /// One of the seeds, which all processes of a new deployment share, chooses the founder.
@@ -599,8 +597,7 @@
     for (const auto& [id, claim] : this->joiners) {
         claims.push_back(claim);
     }
-    const seat_step step =
-        plan_seats(this->replica->status(), claims, options, boot_clock::now());
+    const seat_step step = plan_seats(this->replica->status(), claims, options, boot_clock::now());
     const replication::replica::status_done report =
         [address = step.subject.address, id = step.subject.id,
          action = static_cast<int>(step.action)](const absl::Status& result) {
--- a/src/libcluster/group_service_test.cpp
+++ b/src/libcluster/group_service_test.cpp
@@ -59,8 +59,8 @@
         settings.cluster.founding = true;
         settings.cluster.tolerated_losses = 0;
         std::filesystem::create_directory(settings.data_folder);
-        this->group = std::make_unique<cluster::group_service>(settings, "secret", this->loop,
-                                                               this->traffic);
+        this->group =
+            std::make_unique<cluster::group_service>(settings, "secret", this->loop, this->traffic);
         cluster::group_application application;
         application.apply = [this](std::uint64_t, const std::string& command) {
             this->applied.push_back(command);
--- a/src/libcluster/seat_plan.cpp
+++ b/src/libcluster/seat_plan.cpp
@@ -20,11 +20,10 @@
 /// Voters of the data centre other than `except`.
 std::size_t voters_in(const replication::replica_status& status, const std::string& data_centre)
 {
-    return static_cast<std::size_t>(
-        std::count_if(status.members.begin(), status.members.end(),
-                      [&data_centre](const member_status& each) {
-                          return each.who.voter && each.who.data_centre == data_centre;
-                      }));
+    return static_cast<std::size_t>(std::count_if(
+        status.members.begin(), status.members.end(), [&data_centre](const member_status& each) {
+            return each.who.voter && each.who.data_centre == data_centre;
+        }));
 }
 
 /// A member whose address belongs to another identity now.
@@ -72,8 +71,7 @@
 
 } // namespace
 
-std::vector<member> choose_founders(std::span<const member> candidates,
-                                    const seat_options& options)
+std::vector<member> choose_founders(std::span<const member> candidates, const seat_options& options)
 {
     std::map<std::string, std::vector<member>> by_data_centre;
     for (const member& each : candidates) {
--- a/src/libconfig/documents_test.cpp
+++ b/src/libconfig/documents_test.cpp
@@ -113,8 +113,7 @@
               {"port", "1"},
               {"founding", "true"},
               {"tolerated_losses", "1"}}},
-            {"gateway",
-             {{"listen", address}, {"readiness", address}, {"administration", address}}},
+            {"gateway", {{"listen", address}, {"readiness", address}, {"administration", address}}},
             {"supervisor", {{"listen", address}, {"worker", address}, {"lease_ms", "6000"}}},
             {"metrics", {{"listen", address}}},
             {"timing", {{"poll_ms", "500"}, {"permit_ms", "3000"}, {"drain_ms", "1"}}}};
--- a/src/libentry/entry_service.cpp
+++ b/src/libentry/entry_service.cpp
@@ -279,8 +279,7 @@
     call.query = query_text(request.query);
     call.body = std::move(request.body);
     this->control.call(
-        messages::kind::operator_call, pack(call),
-        boot_clock::now() + operator_patience,
+        messages::kind::operator_call, pack(call), boot_clock::now() + operator_patience,
         [respond](const absl::StatusOr<std::string>& body) {
             if (!body.ok()) {
                 const bool untouched = error_code<control::leader_errc>(body.status()) ==
--- a/src/libentry/request_flow.cpp
+++ b/src/libentry/request_flow.cpp
@@ -110,8 +110,7 @@
     const messages::look_up_claim wanted{this->asked.account, this->asked.key,
                                          this->payload_digest()};
     const std::shared_ptr<request_flow> self = this->shared_from_this();
-    const steady_time patience =
-        std::min(this->asked.deadline, boot_clock::now() + claim_patience);
+    const steady_time patience = std::min(this->asked.deadline, boot_clock::now() + claim_patience);
     this->owner.control.call(
         messages::kind::look_up_claim, pack(wanted), patience,
         [self, text = std::string(reason)](const absl::StatusOr<std::string>& body) {
@@ -167,8 +166,7 @@
     begin.worker = this->current.choice.worker;
     begin.incarnation = this->current.choice.incarnation;
     const std::shared_ptr<request_flow> self = this->shared_from_this();
-    const steady_time patience =
-        std::min(this->asked.deadline, boot_clock::now() + claim_patience);
+    const steady_time patience = std::min(this->asked.deadline, boot_clock::now() + claim_patience);
     this->owner.control.call(
         messages::kind::claim, request::pack_command(begin), patience,
         [self](const absl::StatusOr<std::string>& body) { self->on_claim(body); });
@@ -316,8 +314,8 @@
 {
     request::answer_observation seen;
     seen.outcome = outcome;
-    seen.latency = std::chrono::duration_cast<milliseconds>(boot_clock::now() -
-                                                            this->current.sent_at);
+    seen.latency =
+        std::chrono::duration_cast<milliseconds>(boot_clock::now() - this->current.sent_at);
     if (load != nullptr) {
         seen.load = *load;
     }
@@ -344,9 +342,9 @@
 {
     using outcome = request::outcome_kind;
     if (answer.outcome == outcome::done) {
-        this->owner.retries.note_latency(this->asked.service.name,
-                                         std::chrono::duration_cast<milliseconds>(
-                                             boot_clock::now() - this->begun_at));
+        this->owner.retries.note_latency(
+            this->asked.service.name,
+            std::chrono::duration_cast<milliseconds>(boot_clock::now() - this->begun_at));
         this->record_and_answer(answer);
         return;
     }
@@ -487,8 +485,7 @@
     const std::shared_ptr<request_flow> self = this->shared_from_this();
     kernel::control_loop& loop = this->owner.loop;
     agent->call(static_cast<std::uint16_t>(messages::kind::cancel_attempt),
-                pack(messages::cancel_attempt{attempt, true}),
-                boot_clock::now() + fetch_patience,
+                pack(messages::cancel_attempt{attempt, true}), boot_clock::now() + fetch_patience,
                 [self, &loop, attempt, worker, incarnation](absl::StatusOr<std::string> body) {
                     loop.post([self, attempt, worker, incarnation, body = std::move(body)] {
                         const absl::StatusOr<messages::cancel_answer> answer =
@@ -521,8 +518,7 @@
     finish.given = answer;
     const std::shared_ptr<request_flow> self = this->shared_from_this();
     this->owner.control.call(
-        messages::kind::claim, request::pack_command(finish),
-        boot_clock::now() + record_patience,
+        messages::kind::claim, request::pack_command(finish), boot_clock::now() + record_patience,
         [self, answer](const absl::StatusOr<std::string>& body) {
             const absl::StatusOr<messages::claim_reply> recorded = read_claim(body);
             if (!recorded.ok()) {
@@ -583,8 +579,7 @@
     whole.headers.emplace("X-Outcome", outcome);
     const bool delivered = this->reply(whole);
     const double took =
-        std::chrono::duration<double, std::milli>(boot_clock::now() - this->begun_at)
-            .count();
+        std::chrono::duration<double, std::milli>(boot_clock::now() - this->begun_at).count();
     const std::string_view priority = config::to_text(this->asked.service.request_class);
     this->owner.metrics.add("redwingwheel_requests_total",
                             fmt::format("class=\"{}\",outcome=\"{}\"", priority, outcome));
--- a/src/libgateway/job_gateway.cpp
+++ b/src/libgateway/job_gateway.cpp
@@ -60,22 +60,19 @@
         this->group.leader().call(
             messages::kind::job_call, pack(call), begun + this->options.call_patience,
             [this, begun, done](const absl::StatusOr<std::string>& body) {
-                this->metrics.observe("leader_call_ms", "",
-                                      std::chrono::duration<double, std::milli>(
-                                          boot_clock::now() - begun)
-                                          .count());
+                this->metrics.observe(
+                    "leader_call_ms", "",
+                    std::chrono::duration<double, std::milli>(boot_clock::now() - begun).count());
                 if (!body.ok()) {
-                    const bool nothing_done =
-                        error_code<control::leader_errc>(body.status()) ==
-                        control::leader_errc::no_leader;
+                    const bool nothing_done = error_code<control::leader_errc>(body.status()) ==
+                                              control::leader_errc::no_leader;
                     done(translate_error(nothing_done ? gateway_errc::not_carried_out
                                                       : gateway_errc::unknown,
                                          body.status()));
                     return;
                 }
                 this->last_answer = boot_clock::now();
-                absl::StatusOr<messages::job_answer> answer =
-                    unpack<messages::job_answer>(*body);
+                absl::StatusOr<messages::job_answer> answer = unpack<messages::job_answer>(*body);
                 if (!answer.ok()) {
                     done(translate_error(gateway_errc::unknown, answer.status()));
                     return;
--- a/src/libhttp/http_server.cpp
+++ b/src/libhttp/http_server.cpp
@@ -360,8 +360,7 @@
     // take the answer.
     steady_time give_up = boot_clock::now() + close_patience;
     while (boot_clock::now() < deadline &&
-           (state.open_requests > 0 ||
-            (!state.connected.empty() && boot_clock::now() < give_up))) {
+           (state.open_requests > 0 || (!state.connected.empty() && boot_clock::now() < give_up))) {
         if (state.open_requests > 0) {
             give_up = boot_clock::now() + close_patience;
         }
--- a/src/libhttp/http_test.cpp
+++ b/src/libhttp/http_test.cpp
@@ -299,7 +299,8 @@
             http::http_errc::lost_after_send);
 }
 
-// Guards against a request that comes while callers are given time to close, and is cut at the stop.
+// Guards against a request that comes while callers are given time to close, and is cut at the
+// stop.
 TEST_CASE("a request that comes late in a planned stop is waited for", "[http]")
 {
     const wire::address address = free_address();
--- a/src/libjobs/job_state.cpp
+++ b/src/libjobs/job_state.cpp
@@ -406,12 +406,12 @@
 
 bool job_state::occurrence_due(std::int64_t now_unix_ms) const
 {
-    return std::any_of(
-        this->held.jobs.begin(), this->held.jobs.end(), [now_unix_ms](const auto& entry) {
-            const job_record& job = entry.second;
-            return !job.ended() && job.begun < job.occurrence_count() &&
-                   due_time(job, job.begun) <= now_unix_ms;
-        });
+    return std::any_of(this->held.jobs.begin(), this->held.jobs.end(),
+                       [now_unix_ms](const auto& entry) {
+                           const job_record& job = entry.second;
+                           return !job.ended() && job.begun < job.occurrence_count() &&
+                                  due_time(job, job.begun) <= now_unix_ms;
+                       });
 }
 
 } // namespace redwingwheel::jobs
--- a/src/libjobs/job_state_test.cpp
+++ b/src/libjobs/job_state_test.cpp
@@ -153,7 +153,8 @@
     job_state state = with_job(make_job(1, false));
     std::uint64_t number = 0;
     std::uint32_t run = 0;
-    for (const run_end how : {run_end::stopped, run_end::lapsed, run_end::broken, run_end::failed}) {
+    for (const run_end how :
+         {run_end::stopped, run_end::lapsed, run_end::broken, run_end::failed}) {
         ++run;
         REQUIRE(state.apply(give({{run_of(0, run), worker_a}})) == job_verdict::accepted);
         state.apply(ends_of(worker_a, {{++number, run_of(0, run), how, ""}}));
--- a/src/libjobs/placement_search.cpp
+++ b/src/libjobs/placement_search.cpp
@@ -53,8 +53,7 @@
     });
     std::vector<std::size_t> places;
     for (const std::size_t each : order) {
-        std::uint32_t fitting =
-            tasks_that_fit(step, workers[each].room, workers[each].same_step);
+        std::uint32_t fitting = tasks_that_fit(step, workers[each].room, workers[each].same_step);
         while (fitting > 0 && places.size() < tasks) {
             places.push_back(each);
             --fitting;
@@ -109,9 +108,9 @@
             continue;
         }
         const bool away = !request.step->data_rack.empty() && rack != request.step->data_rack;
-        const std::pair<std::size_t, std::int64_t> score(
-            count_suspects(workers, places) + (away ? workers.size() : 0),
-            free_accelerators(workers, among));
+        const std::pair<std::size_t, std::int64_t> score(count_suspects(workers, places) +
+                                                             (away ? workers.size() : 0),
+                                                         free_accelerators(workers, among));
         if (best.empty() || score < best_score) {
             best = std::move(places);
             best_score = score;
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -135,8 +135,8 @@
 {
     const task_record* const task = this->state.find(run.task);
     const job_record* const job = this->state.find(run.task.job);
-    return task != nullptr && task->phase == task_phase::assigned &&
-           task->last_run == run.number && !job->ended() && !this->evicting.contains(run);
+    return task != nullptr && task->phase == task_phase::assigned && task->last_run == run.number &&
+           !job->ended() && !this->evicting.contains(run);
 }
 
 bool scheduler::confirmed(const run_id& run) const
@@ -181,12 +181,10 @@
     };
     std::erase_if(this->runs, [&is_over](const auto& each) { return is_over(each.first); });
     std::erase_if(this->evicting, [&is_over](const auto& each) { return is_over(each.first); });
-    std::erase_if(this->failed_on, [this](const auto& each) {
-        return this->state.find(each.first) == nullptr;
-    });
-    std::erase_if(this->reservations, [this](const auto& each) {
-        return this->state.find(each.first) == nullptr;
-    });
+    std::erase_if(this->failed_on,
+                  [this](const auto& each) { return this->state.find(each.first) == nullptr; });
+    std::erase_if(this->reservations,
+                  [this](const auto& each) { return this->state.find(each.first) == nullptr; });
     const steady_time now = this->clock();
     std::erase_if(this->workers, [this, now](const auto& each) {
         return (each.second.ended || each.second.grant_until + std::chrono::seconds(60) < now) &&
@@ -275,8 +273,8 @@
                 now.now - progress->second.since;
             const double percent = std::max<double>(progress->second.percent, 1.0);
             const double left = elapsed.count() * (whole_percent - percent) / percent;
-            const double stays = static_cast<double>(
-                known.description.remaining_ms + this->options.drain_slack.count());
+            const double stays = static_cast<double>(known.description.remaining_ms +
+                                                     this->options.drain_slack.count());
             if (left > stays && this->evicting.emplace(run, "worker drains").second) {
                 now.result.evictions.push_back({run, "worker drains"});
             }
@@ -370,11 +368,11 @@
                 next.waiting_since_unix_ms = occurrence.due_unix_ms;
                 next.objective_unix_ms = occurrence.due_unix_ms + allowed;
                 const std::int64_t late_by = now.now_unix_ms + chain - next.objective_unix_ms;
-                next.lateness =
-                    late_by <= 0 ? 0 : late_by < (worthless_after_objectives - 1) * allowed ? 1 : 2;
+                next.lateness = late_by <= 0                                           ? 0
+                                : late_by < (worthless_after_objectives - 1) * allowed ? 1
+                                                                                       : 2;
                 if (job.priority == 0) {
-                    next.rank =
-                        now.guaranteed.contains(id) ? urgency::guaranteed : urgency::urgent;
+                    next.rank = now.guaranteed.contains(id) ? urgency::guaranteed : urgency::urgent;
                 }
                 found.push_back(std::move(next));
             }
@@ -401,9 +399,8 @@
         const worker_description& worker = known.description;
         worker_room& room = now.rooms[each];
         const bool labelled =
-            step.required_label.empty() ||
-            std::find(worker.labels.begin(), worker.labels.end(), step.required_label) !=
-                worker.labels.end();
+            step.required_label.empty() || std::find(worker.labels.begin(), worker.labels.end(),
+                                                     step.required_label) != worker.labels.end();
         const bool suspected = known.suspect_until > now.now;
         room.eligible = worker.service == next.job->service && labelled && !worker.draining &&
                         known.refused_until <= now.now &&
@@ -431,8 +428,7 @@
     for (std::size_t each = 0; each < places.size(); ++each) {
         task_id id = next.id();
         id.index = next.waiting[each];
-        const std::uint32_t number =
-            (step.gang ? gang_run : record.tasks[id.index].last_run) + 1;
+        const std::uint32_t number = (step.gang ? gang_run : record.tasks[id.index].last_run) + 1;
         command.runs.push_back({{id, number}, now.ids[places[each]]});
         this->runs[{id, number}].since = now.now;
         this->runs[{id, number}].last_progress = now.now;
--- a/src/libjobs/scheduler_eviction.cpp
+++ b/src/libjobs/scheduler_eviction.cpp
@@ -30,9 +30,8 @@
     request.step = &next.definition();
     request.tasks = static_cast<std::uint32_t>(next.waiting.size());
     const milliseconds waited(now.now_unix_ms - next.waiting_since_unix_ms);
-    request.any_rack =
-        !fits_when_empty(request, now.rooms) ||
-        (next.rank == urgency::guaranteed && waited >= this->options.rack_patience);
+    request.any_rack = !fits_when_empty(request, now.rooms) ||
+                       (next.rank == urgency::guaranteed && waited >= this->options.rack_patience);
     request.away_from_data =
         !fits_when_empty(request, now.rooms) ||
         waited >= milliseconds(std::max<std::int64_t>(next.definition().estimate_ms, 1000)) ||
@@ -91,8 +90,8 @@
                 known == this->runs.end()
                     ? 0.0
                     : std::chrono::duration<double>(now.now - known->second.since).count();
-            unit.cost += leaving ? 0.0
-                                 : weight_of(step.each) * (step.resumable ? resume_cost_s : seconds);
+            unit.cost +=
+                leaving ? 0.0 : weight_of(step.each) * (step.resumable ? resume_cost_s : seconds);
         }
     }
     std::vector<victim> found;
@@ -195,9 +194,8 @@
     constexpr double ms_per_s = 1000.0;
     const double own_work = weight_of(each) * static_cast<double>(request.tasks) *
                             static_cast<double>(request.step->estimate_ms) / ms_per_s;
-    if (!best.has_value() ||
-        (next.rank != urgency::guaranteed &&
-         best->cost > own_work * this->options.urgent_eviction_share)) {
+    if (!best.has_value() || (next.rank != urgency::guaranteed &&
+                              best->cost > own_work * this->options.urgent_eviction_share)) {
         return;
     }
     reservation made;
--- a/src/libkernel/control_loop.cpp
+++ b/src/libkernel/control_loop.cpp
@@ -2,9 +2,9 @@
 
 #include <future>
 
+#include "redwingwheel/boot_timer.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
-#include "redwingwheel/boot_timer.h"
 
 namespace redwingwheel::kernel {
 
@@ -58,11 +58,10 @@
 
 void control_loop::run_every(milliseconds period, task work)
 {
-    this->run_at(boot_clock::now() + period,
-                 [this, period, work = std::move(work)]() mutable {
-                     work();
-                     this->run_every(period, std::move(work));
-                 });
+    this->run_at(boot_clock::now() + period, [this, period, work = std::move(work)]() mutable {
+        work();
+        this->run_every(period, std::move(work));
+    });
 }
 
 bool control_loop::on_control_thread() const
--- a/src/liblog/bounded_log_sink.cpp
+++ b/src/liblog/bounded_log_sink.cpp
@@ -53,8 +53,8 @@
     const std::string text =
         fmt::format("event=lines_left_out of={} count={}", kind, budget.left_out);
     budget.left_out = 0;
-    this->target->log(spdlog::details::log_msg(spdlog::string_view_t("redwingwheel"),
-                                               spdlog::level::warn, text));
+    this->target->log(
+        spdlog::details::log_msg(spdlog::string_view_t("redwingwheel"), spdlog::level::warn, text));
 }
 
 void bounded_log_sink::flush()
--- a/src/liblog/bounded_log_sink_test.cpp
+++ b/src/liblog/bounded_log_sink_test.cpp
@@ -16,10 +16,9 @@
     std::ostringstream text;
     logs::log_limits limits;
     limits.lines_per_second = 3;
-    spdlog::logger logger(
-        "test", std::make_shared<logs::bounded_log_sink>(
-                    std::make_shared<spdlog::sinks::ostream_sink_mt>(text), limits,
-                    time.function()));
+    spdlog::logger logger("test", std::make_shared<logs::bounded_log_sink>(
+                                      std::make_shared<spdlog::sinks::ostream_sink_mt>(text),
+                                      limits, time.function()));
     logger.set_pattern("%v");
     for (int line = 0; line < 10; ++line) {
         logger.info("event=burst line={}", line);
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -116,6 +116,9 @@
     }
     const std::uint64_t version = this->state.configuration().version;
     this->verdicts[index] = this->state.apply(*read);
+    if (const record_ends* const ends = std::get_if<record_ends>(&*read)) {
+        this->log_ended_jobs(*ends);
+    }
     if (this->state.configuration().version != version) {
         spdlog::info("event=configuration_in_force version={} previous={} index={}",
                      this->state.configuration().version, version, index);
@@ -126,6 +129,23 @@
     this->changed = true;
 }
 
+void scheduler_service::log_ended_jobs(const record_ends& command) const
+{
+    std::set<std::string> named;
+    for (const listed_end& end : command.ends) {
+        named.insert(end.run.task.job);
+    }
+    for (const std::string& id : named) {
+        const job_record* const job = this->state.find(id);
+        if (!this->leading || job == nullptr || job->ended_unix_ms != command.now_unix_ms) {
+            continue;
+        }
+        spdlog::info("event=job_ended job={} status={} max_attempts={} took_ms={}", id,
+                     job->status == job_status::completed ? "completed" : "failed",
+                     job->max_attempts, job->ended_unix_ms - job->submitted_unix_ms);
+    }
+}
+
 void scheduler_service::on_leadership(bool leads, std::uint64_t of_term)
 {
     this->leading = leads;
@@ -144,21 +164,21 @@
 
 void scheduler_service::propose(const job_command& command, command_done done)
 {
-    this->group.propose(pack_job_command(command), [this, done = std::move(done)](
-                                                       absl::StatusOr<replication::log_index> at) {
-        if (!at.ok()) {
-            done(at.status());
-            return;
-        }
-        const auto found = this->verdicts.find(at->value);
-        if (found == this->verdicts.end()) {
-            done(absl::InternalError("the verdict on the command is not kept"));
-            return;
-        }
-        const job_verdict verdict = found->second;
-        this->verdicts.erase(found);
-        done(verdict);
-    });
+    this->group.propose(pack_job_command(command),
+                        [this, done = std::move(done)](absl::StatusOr<replication::log_index> at) {
+                            if (!at.ok()) {
+                                done(at.status());
+                                return;
+                            }
+                            const auto found = this->verdicts.find(at->value);
+                            if (found == this->verdicts.end()) {
+                                done(absl::InternalError("the verdict on the command is not kept"));
+                                return;
+                            }
+                            const job_verdict verdict = found->second;
+                            this->verdicts.erase(found);
+                            done(verdict);
+                        });
 }
 
 // --- supervisors --------------------------------------------------------------------------------
@@ -206,8 +226,8 @@
         this->decisions.note_end(worker, end);
         this->metrics.add("run_ends_total", fmt::format("how=\"{}\"", run_end_name(end.how)));
         spdlog::info("event=run_ended job={} task={} run={} how={} worker={} born={} number={}",
-                     end.run.task.job, text_of(end.run.task), end.run.number,
-                     run_end_name(end.how), worker.id, worker.born_unix_ms, end.number);
+                     end.run.task.job, text_of(end.run.task), end.run.number, run_end_name(end.how),
+                     worker.id, worker.born_unix_ms, end.number);
     }
     if (command.ends.empty()) {
         return;
@@ -255,8 +275,7 @@
     }
 }
 
-messages::worker_poll_answer
-scheduler_service::make_answer(const worker_incarnation& worker) const
+messages::worker_poll_answer scheduler_service::make_answer(const worker_incarnation& worker) const
 {
     messages::worker_poll_answer made;
     made.term = this->term;
@@ -276,9 +295,8 @@
                 {run, job->definition.payload, this->state.find(run.task)->checkpoint});
         }
     }
-    made.orders_digest =
-        digest::content_hash(pack(
-        std::make_tuple(made.recorded_ends, made.wanted, unconfirmed, made.withdrawn)));
+    made.orders_digest = digest::content_hash(
+        pack(std::make_tuple(made.recorded_ends, made.wanted, unconfirmed, made.withdrawn)));
     return made;
 }
 
@@ -360,45 +378,42 @@
         return;
     }
     const step_definition& first = call.definition.steps.front();
-    spdlog::info("event=job_submitted job={} queue={} account={} steps={} tasks={} cpu_millis={} "
-                 "accelerators={} gang={} same_rack={} resumable={} estimate_ms={} occurrences={} "
-                 "configuration={}",
-                 call.job, this->state.route(call.host, call.path)->name,
-                 this->state.account_of(call.key) == nullptr
-                     ? ""
-                     : this->state.account_of(call.key)->name,
-                 call.definition.steps.size(), first.tasks, first.each.cpu_millis,
-                 first.each.accelerators, first.gang, first.same_rack, first.resumable,
-                 first.estimate_ms, call.definition.occurrences,
-                 this->state.configuration().version);
-    this->serve_change(call,
-                       submit_job{call.job, call.host, call.path, call.key, call.definition,
-                                  unix_ms()},
-                       answer);
+    spdlog::info(
+        "event=job_submitted job={} queue={} account={} steps={} tasks={} cpu_millis={} "
+        "accelerators={} gang={} same_rack={} resumable={} estimate_ms={} occurrences={} "
+        "configuration={}",
+        call.job, this->state.route(call.host, call.path)->name,
+        this->state.account_of(call.key) == nullptr ? "" : this->state.account_of(call.key)->name,
+        call.definition.steps.size(), first.tasks, first.each.cpu_millis, first.each.accelerators,
+        first.gang, first.same_rack, first.resumable, first.estimate_ms,
+        call.definition.occurrences, this->state.configuration().version);
+    this->serve_change(
+        call, submit_job{call.job, call.host, call.path, call.key, call.definition, unix_ms()},
+        answer);
 }
 
 void scheduler_service::serve_change(const messages::job_call& call, const job_command& change,
                                      const answer_function& answer)
 {
     const steady_time begun = boot_clock::now();
-    this->propose(change, [this, answer, begun, job = call.job,
-                           operation = static_cast<int>(call.operation)](
-                              const absl::StatusOr<job_verdict>& verdict) {
-        if (!verdict.ok()) {
-            spdlog::warn("event=change_unanswered operation={} job={} error=\"{}\"", operation, job,
-                         errors::message_of(verdict.status()));
-            answer(verdict.status());
-            return;
-        }
-        const double took =
-            std::chrono::duration<double, std::milli>(boot_clock::now() - begun).count();
-        this->metrics.observe("commit_ms", "", took);
-        spdlog::info("event=change_committed operation={} job={} verdict={} took_ms={:.1f} "
-                     "configuration={}",
-                     operation, job, verdict_name(*verdict), took,
-                     this->state.configuration().version);
-        answer(pack(messages::job_answer{*verdict, {}, 0, ""}));
-    });
+    this->propose(
+        change, [this, answer, begun, job = call.job, operation = static_cast<int>(call.operation)](
+                    const absl::StatusOr<job_verdict>& verdict) {
+            if (!verdict.ok()) {
+                spdlog::warn("event=change_unanswered operation={} job={} error=\"{}\"", operation,
+                             job, errors::message_of(verdict.status()));
+                answer(verdict.status());
+                return;
+            }
+            const double took =
+                std::chrono::duration<double, std::milli>(boot_clock::now() - begun).count();
+            this->metrics.observe("commit_ms", "", took);
+            spdlog::info("event=change_committed operation={} job={} verdict={} took_ms={:.1f} "
+                         "configuration={}",
+                         operation, job, verdict_name(*verdict), took,
+                         this->state.configuration().version);
+            answer(pack(messages::job_answer{*verdict, {}, 0, ""}));
+        });
 }
 
 void scheduler_service::serve_read(const messages::job_call& call, const answer_function& answer)
@@ -461,9 +476,9 @@
         this->next_clean_up = now + clean_up_period;
         // Checked again once this is committed.
         this->next_time_check = now + std::chrono::seconds(1);
-        this->propose(::redwingwheel::jobs::advance_time{wall, wall - ended_jobs_kept_ms}, [this](const absl::StatusOr<job_verdict>&) {
-            this->next_time_check = steady_time();
-        });
+        this->propose(
+            ::redwingwheel::jobs::advance_time{wall, wall - ended_jobs_kept_ms},
+            [this](const absl::StatusOr<job_verdict>&) { this->next_time_check = steady_time(); });
     }
 }
 
--- a/src/libsupervisor/supervisor.cpp
+++ b/src/libsupervisor/supervisor.cpp
@@ -149,9 +149,9 @@
     if (!this->worker_clock.has_value() || !this->has_permit()) {
         return std::nullopt;
     }
-    const double covered = std::chrono::duration<double, std::milli>(this->permit_until -
-                                                                     this->worker_clock_read_at)
-                               .count();
+    const double covered =
+        std::chrono::duration<double, std::milli>(this->permit_until - this->worker_clock_read_at)
+            .count();
     return *this->worker_clock + static_cast<worker_time_ms>(covered * slowest_worker_clock);
 }
 
@@ -230,11 +230,13 @@
         if (start.deadline == 0) {
             this->send_start(run);
         }
-        else if (listing.clock > start.deadline && this->clock() > start.sent_at + milliseconds(50)) {
+        else if (listing.clock > start.deadline &&
+                 this->clock() > start.sent_at + milliseconds(50)) {
             this->refuse(run, start, "not_started_in_time");
         }
-        else if (start.unanswered > 0 && listing.clock < start.deadline &&
-                 this->clock() > start.sent_at + this->options.retry_unanswered) {
+        else if (start.unanswered > 0 &&
+                 listing.clock<start.deadline&& this->clock()> start.sent_at +
+                     this->options.retry_unanswered) {
             this->send_start(run);
         }
     }
@@ -309,10 +311,9 @@
         return;
     }
     const std::optional<worker_time_ms> limit = this->lease_limit();
-    const worker_time_ms now =
-        *this->worker_clock + std::chrono::duration_cast<milliseconds>(
-                                  this->clock() - this->worker_clock_read_at)
-                                  .count();
+    const worker_time_ms now = *this->worker_clock + std::chrono::duration_cast<milliseconds>(
+                                                         this->clock() - this->worker_clock_read_at)
+                                                         .count();
     if (!limit.has_value() || this->worker->draining) {
         // An earlier attempt may still be carried out; its deadline decides.
         if (start.unanswered == 0) {
@@ -461,8 +462,7 @@
     }
     const bool first = !this->has_orders;
     this->term = answer.term;
-    this->permit_until =
-        std::max(this->permit_until, sent_at + milliseconds(answer.permit_ms));
+    this->permit_until = std::max(this->permit_until, sent_at + milliseconds(answer.permit_ms));
     this->has_orders = true;
     this->orders_digest = answer.orders_digest;
     this->recorded_ends = std::max(this->recorded_ends, answer.recorded_ends);
--- a/src/libsupervisor/supervisor_test.cpp
+++ b/src/libsupervisor/supervisor_test.cpp
@@ -63,10 +63,11 @@
         supervisor_options options;
         options.name = "host";
         supervisor_hooks hooks;
-        hooks.poll = [this](const messages::worker_poll& poll, steady_time,
-                            std::function<void(absl::StatusOr<messages::worker_poll_answer>)> done) {
-            this->polls.push_back({poll, std::move(done)});
-        };
+        hooks.poll =
+            [this](const messages::worker_poll& poll, steady_time,
+                   std::function<void(absl::StatusOr<messages::worker_poll_answer>)> done) {
+                this->polls.push_back({poll, std::move(done)});
+            };
         hooks.run_at = [this](steady_time at, std::function<void()> work) {
             this->timers.emplace(at, std::move(work));
         };
--- a/src/libwire/connection.h
+++ b/src/libwire/connection.h
@@ -7,8 +7,8 @@
 #include <memory>
 #include <string>
 
-#include <boost/asio/ip/tcp.hpp>
 #include "redwingwheel/boot_timer.h"
+#include <boost/asio/ip/tcp.hpp>
 
 #include "redwingwheel/rpc.h"
 
--- a/src/libwire/rpc_client.cpp
+++ b/src/libwire/rpc_client.cpp
@@ -91,8 +91,8 @@
 void rpc_client::implementation::write(pending_call& call)
 {
     const std::uint64_t correlation = call.request.correlation;
-    call.request.remaining_ms = static_cast<std::uint32_t>(
-        remaining_until(call.deadline, boot_clock::now()).count());
+    call.request.remaining_ms =
+        static_cast<std::uint32_t>(remaining_until(call.deadline, boot_clock::now()).count());
     call.queued = true;
     const absl::Status status = this->link->send(call.request);
     if (!status.ok()) {
@@ -106,8 +106,9 @@
     boost::system::error_code error;
     const tcp::endpoint endpoint(asio::ip::make_address(this->remote.ip, error), this->remote.port);
     const std::shared_ptr<tcp::socket> socket = std::make_shared<tcp::socket>(this->context);
-    const std::shared_ptr<redwingwheel::boot_timer> timer = std::make_shared<redwingwheel::boot_timer>(
-        this->context, boot_clock::now() + this->options.abandon_after);
+    const std::shared_ptr<redwingwheel::boot_timer> timer =
+        std::make_shared<redwingwheel::boot_timer>(this->context,
+                                                   boot_clock::now() + this->options.abandon_after);
     timer->async_wait([socket](const boost::system::error_code& cancelled) {
         if (!cancelled) {
             boost::system::error_code ignored;
@@ -266,8 +267,9 @@
     ++this->failed_attempts;
     std::uniform_int_distribution<std::int64_t> wait(1, ceiling);
     this->state = link_state::waiting;
-    const std::shared_ptr<redwingwheel::boot_timer> timer = std::make_shared<redwingwheel::boot_timer>(
-        this->context, boot_clock::now() + milliseconds(wait(this->random)));
+    const std::shared_ptr<redwingwheel::boot_timer> timer =
+        std::make_shared<redwingwheel::boot_timer>(
+            this->context, boot_clock::now() + milliseconds(wait(this->random)));
     const std::weak_ptr<implementation> weak = this->weak_from_this();
     timer->async_wait([weak, timer](const boost::system::error_code& error) {
         const std::shared_ptr<implementation> self = weak.lock();
--- a/src/libwire/rpc_server.cpp
+++ b/src/libwire/rpc_server.cpp
@@ -111,8 +111,7 @@
 void rpc_server::implementation::dispatch(const std::shared_ptr<session>& from, frame received)
 {
     incoming_request request{received.kind, std::move(received.body),
-                             boot_clock::now() +
-                                 milliseconds(received.remaining_ms)};
+                             boot_clock::now() + milliseconds(received.remaining_ms)};
     const std::uint64_t correlation = received.correlation;
     const std::uint16_t kind = received.kind;
     const std::weak_ptr<connection> link = from->link;
--- a/src/redwingwheel-bench-control/call_load.cpp
+++ b/src/redwingwheel-bench-control/call_load.cpp
@@ -82,22 +82,21 @@
 void control_caller::call(messages::kind kind, std::string body,
                           std::function<void(absl::StatusOr<std::string>)> done)
 {
-    this->client.call(static_cast<std::uint16_t>(kind), std::move(body),
-                      boot_clock::now() + call_patience,
-                      [done = std::move(done)](const absl::StatusOr<std::string>& reply_body) {
-                          if (!reply_body.ok()) {
-                              done(reply_body.status());
-                              return;
-                          }
-                          absl::StatusOr<messages::control_reply> reply =
-                              unpack<messages::control_reply>(*reply_body);
-                          if (!reply.ok() ||
-                              reply->result != messages::control_reply::verdict::served) {
-                              done(absl::UnavailableError("not served"));
-                              return;
-                          }
-                          done(std::move(reply->body));
-                      });
+    this->client.call(
+        static_cast<std::uint16_t>(kind), std::move(body), boot_clock::now() + call_patience,
+        [done = std::move(done)](const absl::StatusOr<std::string>& reply_body) {
+            if (!reply_body.ok()) {
+                done(reply_body.status());
+                return;
+            }
+            absl::StatusOr<messages::control_reply> reply =
+                unpack<messages::control_reply>(*reply_body);
+            if (!reply.ok() || reply->result != messages::control_reply::verdict::served) {
+                done(absl::UnavailableError("not served"));
+                return;
+            }
+            done(std::move(reply->body));
+        });
 }
 
 nlohmann::json control_caller::post(std::string_view path, std::string_view query,
--- a/src/redwingwheel-bench-control/rebuild.cpp
+++ b/src/redwingwheel-bench-control/rebuild.cpp
@@ -28,8 +28,7 @@
 
 double elapsed_us(steady_time since)
 {
-    return std::chrono::duration<double, std::micro>(boot_clock::now() - since)
-        .count();
+    return std::chrono::duration<double, std::micro>(boot_clock::now() - since).count();
 }
 
 std::uint64_t incarnation_of(std::size_t worker)
--- a/src/redwingwheeld/daemon.cpp
+++ b/src/redwingwheeld/daemon.cpp
@@ -56,8 +56,8 @@
             jobs::scheduler_options(), group, this->loop, this->metrics));
     }
     if (this->settings.roles.gateway) {
-        this->services.add(std::make_unique<platform::gateway_service>(
-            this->settings, group, this->loop, this->metrics));
+        this->services.add(std::make_unique<platform::gateway_service>(this->settings, group,
+                                                                       this->loop, this->metrics));
     }
     if (this->settings.roles.supervisor) {
         this->services.add(std::make_unique<platform::supervisor_service>(
--- a/src/testing/backend_stand_in.cpp
+++ b/src/testing/backend_stand_in.cpp
@@ -9,8 +9,8 @@
 #include <thread>
 #include <vector>
 
-#include <boost/asio/io_context.hpp>
 #include "redwingwheel/boot_timer.h"
+#include <boost/asio/io_context.hpp>
 #include <fmt/format.h>
 #include <pistache/endpoint.h>
 #include <pistache/peer.h>
@@ -152,8 +152,8 @@
             this->finish(*response, body, faults);
             return;
         }
-        const auto timer =
-            std::make_shared<redwingwheel::boot_timer>(this->state->timers, faults.die ? work / 2 : work);
+        const auto timer = std::make_shared<redwingwheel::boot_timer>(this->state->timers,
+                                                                      faults.die ? work / 2 : work);
         timer->async_wait([self = *this, timer, response, body,
                            faults](const boost::system::error_code&) mutable {
             if (faults.die) {
