Keep room for an ordinary gang that has waited long

Cause: small work that came later took the room of large gangs piece by piece (waits of 8 to 23 s on the grown deployments). Change: after 1.5 s the first such gang reserves the places that are expected to be free first.

--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -58,6 +58,8 @@
     double urgent_eviction_share = 1.0;
     /// An urgent gang waits this long for its rack before it is spread.
     milliseconds rack_patience{1000};
+    /// An ordinary gang that has waited this long has room kept for it.
+    milliseconds gang_patience{1500};
     /// A reservation that has not been filled by then is decided anew.
     milliseconds reservation_life{1200};
 };
@@ -140,7 +142,8 @@
         std::vector<run_id> runs;
         std::vector<std::size_t> places;
         resources each;
-        double cost = 0.0; ///< Core-seconds of work that would be lost.
+        double cost = 0.0;    ///< Core-seconds of work that would be lost.
+        double left_ms = 0.0; ///< Until the last of them is expected to end.
     };
     struct eviction_plan {
         std::vector<std::size_t> victims;
@@ -163,7 +166,12 @@
     void place(round& now, const candidate& next);
     void assign(round& now, const candidate& next, const std::vector<std::size_t>& places);
     void hold_reservation(round& now, const candidate& next, const placement_request& request);
-    [[nodiscard]] std::vector<victim> victims(const round& now) const;
+    void keep_room(round& now, const candidate& next, const placement_request& request);
+    [[nodiscard]] reservation make_reservation(round& now, const eviction_plan& plan,
+                                               const placement_request& request) const;
+    /// Runs of jobs whose priority number is above `above`; all when it is empty.
+    [[nodiscard]] std::vector<victim> victims(const round& now,
+                                              std::optional<std::uint32_t> above) const;
     [[nodiscard]] static std::optional<eviction_plan>
     plan_eviction(const round& now, const placement_request& request,
                   const std::vector<victim>& possible);
--- a/src/libjobs/scheduler_eviction.cpp
+++ b/src/libjobs/scheduler_eviction.cpp
@@ -11,6 +11,8 @@
 
 /// An accelerator counts as this many cores when lost work is compared.
 constexpr double cores_per_accelerator = 8.0;
+/// Lateness of work that earns nothing any more.
+constexpr int hopeless = 2;
 /// Work lost by evicting a run that resumes from a checkpoint, in seconds of its resources.
 constexpr double resume_cost_s = 0.3;
 
@@ -47,6 +49,45 @@
     if (next.rank != urgency::ordinary) {
         this->hold_reservation(now, next, request);
     }
+    else if (request.step->gang && !now.gang_is_waiting && next.lateness < hopeless &&
+             waited >= this->options.gang_patience) {
+        now.gang_is_waiting = true;
+        this->keep_room(now, next, request);
+    }
+}
+
+/// Keeps the room that is expected to be free first for a gang that has waited long, so that small
+/// work does not take it piece by piece.
+void scheduler::keep_room(round& now, const candidate& next, const placement_request& request)
+{
+    const auto held = this->reservations.find(next.id());
+    if (held == this->reservations.end() ||
+        now.now >= held->second.made + this->options.reservation_life) {
+        std::vector<victim> expected = this->victims(now, std::nullopt);
+        std::sort(expected.begin(), expected.end(), [](const victim& left, const victim& right) {
+            return left.left_ms < right.left_ms;
+        });
+        const std::optional<eviction_plan> plan = plan_eviction(now, request, expected);
+        if (!plan.has_value()) {
+            return;
+        }
+        this->reservations[next.id()] = this->make_reservation(now, *plan, request);
+        return;
+    }
+    this->hold_reservation(now, next, request);
+}
+
+scheduler::reservation scheduler::make_reservation(round& now, const eviction_plan& plan,
+                                                   const placement_request& request) const
+{
+    reservation made;
+    made.made = now.now;
+    made.each = request.step->each;
+    for (const std::size_t place : plan.places) {
+        made.places.push_back(now.ids[place]);
+        now.rooms[place].room -= request.step->each;
+    }
+    return made;
 }
 
 /// Keeps what is being freed for the step out of the reach of those that come later in the round.
@@ -69,14 +110,15 @@
     this->reserve_by_eviction(now, next, request);
 }
 
-std::vector<scheduler::victim> scheduler::victims(const round& now) const
+std::vector<scheduler::victim> scheduler::victims(const round& now,
+                                                  std::optional<std::uint32_t> above) const
 {
     std::map<std::tuple<std::string, std::uint32_t, std::uint32_t, std::uint32_t>, victim> units;
     for (std::size_t each = 0; each < now.ids.size(); ++each) {
         for (const run_id& run : this->state.runs_on(now.ids[each])) {
             const job_record* const job = this->state.find(run.task.job);
             const step_definition& step = job->definition.steps[run.task.step];
-            if (job->priority == 0 || step.lasting) {
+            if ((above.has_value() && job->priority <= *above) || step.lasting) {
                 continue;
             }
             const std::uint32_t index = step.gang ? 0 : run.task.index;
@@ -159,7 +201,7 @@
 void scheduler::reserve_by_eviction(round& now, const candidate& next,
                                     const placement_request& request)
 {
-    const std::vector<victim> possible = this->victims(now);
+    const std::vector<victim> possible = this->victims(now, 0);
     std::optional<eviction_plan> best;
     std::set<std::string> racks;
     if (request.step->same_rack && !request.any_rack) {
@@ -198,14 +240,7 @@
                               best->cost > own_work * this->options.urgent_eviction_share)) {
         return;
     }
-    reservation made;
-    made.made = now.now;
-    made.each = request.step->each;
-    for (const std::size_t place : best->places) {
-        made.places.push_back(now.ids[place]);
-        now.rooms[place].room -= request.step->each;
-    }
-    this->reservations[next.id()] = std::move(made);
+    this->reservations[next.id()] = this->make_reservation(now, *best, request);
     for (const victim& unit : best->units) {
         for (const run_id& run : unit.runs) {
             if (this->evicting.emplace(run, *next.job_id).second) {
--- a/src/libjobs/scheduler_round.h
+++ b/src/libjobs/scheduler_round.h
@@ -41,6 +41,8 @@
     /// Suspects are few enough to be left out.
     bool avoid_suspects = true;
     std::set<std::string> guaranteed;
+    /// Room is being kept for an ordinary gang; one at a time, so that most room stays usable.
+    bool gang_is_waiting = false;
     schedule result;
 };
 
--- a/src/libjobs/scheduler_test.cpp
+++ b/src/libjobs/scheduler_test.cpp
@@ -239,6 +239,28 @@
     CHECK(made.evictions[0].run.task.job == "long");
 }
 
+// Failure: small work that comes later takes the room of a large gang piece by piece, for ever.
+TEST_CASE("room is kept for a gang that has waited long")
+{
+    world w;
+    w.add_worker("a", "r1");
+    w.add_worker("b", "r1");
+    w.submit("first", "batch", 16, 1);
+    w.decide();
+    w.submit("gang", "batch", 2, 8, true);
+    w.pass(milliseconds(2000));
+    w.report("a");
+    w.report("b");
+    w.submit("later", "batch", 4, 1);
+    for (std::uint32_t index = 0; index < 16; ++index) {
+        CHECK(w.decide().evictions.empty());
+        CHECK(w.workers_of("later").empty());
+        w.end({{"first", 0, 0, index}, 1}, run_end::done);
+    }
+    w.decide();
+    CHECK(w.workers_of("gang").size() == 2);
+}
+
 // Failure: runs on a worker that is cut off are given away while its lease may still run.
 TEST_CASE("runs are given up only when the worker's grant is over")
 {
