Linter clean; check that only platform/ knows the platform's names

Cause: the linter reads defaulted three-way comparisons as null pointers. Change: explicit comparisons; check_names.sh is part of make check.

--- a/Makefile
+++ b/Makefile
@@ -43,4 +43,5 @@
 
 check: configure
 	@src/build-scripts/check_format.sh
+	@src/build-scripts/check_names.sh
 	@src/build-scripts/check_lint.sh $(BUILD)
--- a/src/include/redwingwheel/job_model.h
+++ b/src/include/redwingwheel/job_model.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include <algorithm>
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include <msgpack.hpp>
@@ -125,7 +125,12 @@
     std::uint32_t step = 0;
     std::uint32_t index = 0;
 
-    friend auto operator<=>(const task_id&, const task_id&) = default;
+    friend bool operator==(const task_id&, const task_id&) = default;
+    friend bool operator<(const task_id& left, const task_id& right)
+    {
+        return std::tie(left.job, left.occurrence, left.step, left.index) <
+               std::tie(right.job, right.occurrence, right.step, right.index);
+    }
     MSGPACK_DEFINE(job, occurrence, step, index)
 };
 
@@ -134,7 +139,11 @@
     task_id task;
     std::uint32_t number = 0;
 
-    friend auto operator<=>(const run_id&, const run_id&) = default;
+    friend bool operator==(const run_id&, const run_id&) = default;
+    friend bool operator<(const run_id& left, const run_id& right)
+    {
+        return std::tie(left.task, left.number) < std::tie(right.task, right.number);
+    }
     MSGPACK_DEFINE(task, number)
 };
 
@@ -150,7 +159,12 @@
         return (this->host == other.host || this->id == other.id) &&
                this->born_unix_ms < other.born_unix_ms;
     }
-    friend auto operator<=>(const worker_incarnation&, const worker_incarnation&) = default;
+    friend bool operator==(const worker_incarnation&, const worker_incarnation&) = default;
+    friend bool operator<(const worker_incarnation& left, const worker_incarnation& right)
+    {
+        return std::tie(left.id, left.born_unix_ms, left.host) <
+               std::tie(right.id, right.born_unix_ms, right.host);
+    }
     MSGPACK_DEFINE(id, born_unix_ms, host)
 };
 
