--- a/src/libcontrol/message_reading.h
+++ b/src/include/redwingwheel/message_reading.h
@@ -7,11 +7,11 @@
 #include "redwingwheel/packing.h"
 #include "redwingwheel/rpc.h"
 
-namespace redwingwheel::control {
+namespace redwingwheel::wire {
 
 /// The message that a request carries; empty, and logged, when it is not readable.
 template <class Message>
-std::optional<Message> read_message(const wire::incoming_request& request)
+std::optional<Message> read_message(const incoming_request& request)
 {
     absl::StatusOr<Message> message = unpack<Message>(request.body);
     if (!message.ok()) {
@@ -22,4 +22,4 @@
     return *std::move(message);
 }
 
-} // namespace redwingwheel::control
+} // namespace redwingwheel::wire
--- a/src/libcluster/group_service.cpp
+++ b/src/libcluster/group_service.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
+#include "redwingwheel/message_reading.h"
 #include "redwingwheel/messages.h"
 #include "redwingwheel/packing.h"
 
@@ -21,11 +22,6 @@
 /// Introductions until the process has found a leader, and from then on.
 constexpr milliseconds eager_introduction_period{150};
 constexpr milliseconds calm_introduction_period{2000};
-constexpr milliseconds introduction_patience{1000};
-/// No founder is chosen until no further candidate has appeared for this long.
-constexpr milliseconds founding_settles{600};
-/// The next seed in order chooses the founder when those before it stay silent.
-constexpr milliseconds founding_turn{3000};
 /// A storage that failed is opened again after this long; full disks are cleared in seconds.
 constexpr milliseconds reopen_wait{1000};
 constexpr milliseconds seat_step_period{200};
@@ -39,18 +35,6 @@
     return engine();
 }
 
-template <class Message>
-std::optional<Message> read_message(const wire::incoming_request& request)
-{
-    absl::StatusOr<Message> read = unpack<Message>(request.body);
-    if (!read.ok()) {
-        spdlog::warn("event=message_unreadable kind={} error=\"{}\"", request.kind,
-                     errors::message_of(read.status()));
-        return std::nullopt;
-    }
-    return *std::move(read);
-}
-
 } // namespace
 
 group_service::group_service(const config::settings& chosen, std::string_view cluster_secret,
@@ -358,7 +342,7 @@
 
 std::string group_service::hello_reply(const wire::incoming_request& request)
 {
-    const std::optional<messages::hello> from = read_message<messages::hello>(request);
+    const std::optional<messages::hello> from = wire::read_message<messages::hello>(request);
     if (from.has_value()) {
         this->note_peer(from->self);
         this->client->learn(from->replicas);
@@ -374,7 +358,8 @@
 
 void group_service::serve_found_group(const wire::incoming_request& request)
 {
-    const std::optional<messages::found_group> order = read_message<messages::found_group>(request);
+    const std::optional<messages::found_group> order =
+        wire::read_message<messages::found_group>(request);
     if (!order.has_value() || this->replica == nullptr || this->replica->has_state() ||
         !this->settings.cluster.founding) {
         return;
@@ -386,7 +371,8 @@
 
 void group_service::serve_join(const wire::incoming_request& request)
 {
-    const std::optional<replication::member> joiner = read_message<replication::member>(request);
+    const std::optional<replication::member> joiner =
+        wire::read_message<replication::member>(request);
     if (!joiner.has_value() || !this->leads()) {
         return;
     }
@@ -400,7 +386,7 @@
 void group_service::serve_replication(const wire::incoming_request& request)
 {
     const std::optional<replication::peer_message> message =
-        read_message<replication::peer_message>(request);
+        wire::read_message<replication::peer_message>(request);
     if (!message.has_value() || this->replica == nullptr) {
         return;
     }
@@ -502,122 +488,4 @@
     this->reopen_at = now + reopen_wait;
 }
 
-void group_service::introduce()
-{
-    const messages::hello greeting{this->own_info(), this->replica_addresses()};
-    this->client->broadcast(messages::kind::hello, pack(greeting),
-                            boot_clock::now() + introduction_patience,
-                            [this](const std::string&, const std::string& body) {
-                                const absl::StatusOr<messages::hello_answer> answer =
-                                    unpack<messages::hello_answer>(body);
-                                if (!answer.ok()) {
-                                    spdlog::warn("event=hello_unreadable error=\"{}\"",
-                                                 errors::message_of(answer.status()));
-                                    return;
-                                }
-                                this->note_peer(answer->self);
-                                this->client->learn(answer->replicas);
-                                if (!answer->leader.empty()) {
-                                    this->client->follow(answer->leader, answer->term);
-                                }
-                            });
-}
-
-/// One of the seeds, which all processes of a new deployment share, chooses the founder.
-void group_service::consider_founding()
-{
-    const std::vector<std::string>& seeds = this->settings.cluster.seeds;
-    const auto own = std::find(seeds.begin(), seeds.end(), this->settings.cluster.listen);
-    const steady_time now = boot_clock::now();
-    if (!this->settings.cluster.founding || own == seeds.end() ||
-        now < this->started_at + founding_settles + founding_turn * (own - seeds.begin()) ||
-        now < this->last_new_peer + founding_settles) {
-        return;
-    }
-    if (this->replica != nullptr) {
-        this->note_peer(this->own_info());
-    }
-    std::vector<replication::member> candidates;
-    for (const auto& [address, peer] : this->peers) {
-        if (peer.info.has_state) {
-            return;
-        }
-        if (peer.info.replica && peer.info.founding) {
-            candidates.push_back({peer.info.identity, address, peer.info.data_centre, true});
-        }
-    }
-    seat_options options;
-    options.tolerated_losses = this->settings.cluster.tolerated_losses;
-    const std::vector<replication::member> founders = choose_founders(candidates, options);
-    if (founders.empty()) {
-        return;
-    }
-    const auto lowest =
-        std::min_element(founders.begin(), founders.end(),
-                         [](const replication::member& left, const replication::member& right) {
-                             return left.address < right.address;
-                         });
-    const std::string order = pack(messages::found_group{founders});
-    spdlog::info("event=founder_chosen address={} members={}", lowest->address, founders.size());
-    if (lowest->address == this->settings.cluster.listen) {
-        this->serve_found_group({0, order, {}});
-        return;
-    }
-    this->client_for(lowest->address)
-        .call(static_cast<std::uint16_t>(messages::kind::found_group), order,
-              now + introduction_patience, [](const absl::StatusOr<std::string>&) {});
-}
-
-void group_service::ask_to_join()
-{
-    if (this->replica == nullptr || this->leads()) {
-        return;
-    }
-    const replication::member* const own =
-        replication::find_member(this->replica->members(), this->replica->identity());
-    // A member that hears of no leader may have lost its seat while it was away.
-    if (own != nullptr && this->replica->known_leader().has_value()) {
-        return;
-    }
-    const replication::member self{this->replica->identity(), this->settings.cluster.listen,
-                                   this->settings.data_centre, false};
-    this->client->broadcast(messages::kind::join, pack(self),
-                            boot_clock::now() + introduction_patience,
-                            [](const std::string&, const std::string&) {});
-}
-
-void group_service::advance_seats()
-{
-    if (!this->leads()) {
-        return;
-    }
-    seat_options options;
-    options.tolerated_losses = this->settings.cluster.tolerated_losses;
-    std::vector<seat_claim> claims;
-    for (const auto& [id, claim] : this->joiners) {
-        claims.push_back(claim);
-    }
-    const seat_step step = plan_seats(this->replica->status(), claims, options, boot_clock::now());
-    const replication::replica::status_done report =
-        [address = step.subject.address, id = step.subject.id,
-         action = static_cast<int>(step.action)](const absl::Status& result) {
-            spdlog::info("event=member_changed action={} address={} identity={:016x} result=\"{}\"",
-                         action, address, id.value, result.ToString());
-        };
-    switch (step.action) {
-    case seat_action::add_learner:
-        this->replica->add_learner(step.subject, report);
-        break;
-    case seat_action::promote:
-        this->replica->promote(step.subject.id, report);
-        break;
-    case seat_action::remove:
-        this->replica->remove(step.subject.id, report);
-        break;
-    case seat_action::none:
-        return;
-    }
-    this->schedule_flush();
-}
-
 } // namespace redwingwheel::cluster
--- a/src/libcontrol/control_service.cpp
+++ b/src/libcontrol/control_service.cpp
@@ -5,8 +5,8 @@
 #include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
-#include "message_reading.h"
 #include "operator_interface.h"
+#include "redwingwheel/message_reading.h"
 #include "redwingwheel/packing.h"
 
 namespace redwingwheel::control {
@@ -208,7 +208,8 @@
 
 void control_service::serve_agent_poll(const wire::incoming_request& request, const served& done)
 {
-    const std::optional<messages::agent_poll> poll = read_message<messages::agent_poll>(request);
+    const std::optional<messages::agent_poll> poll =
+        wire::read_message<messages::agent_poll>(request);
     if (!poll.has_value()) {
         done(unreadable());
         return;
@@ -226,7 +227,8 @@
 
 void control_service::serve_entry_poll(const wire::incoming_request& request, const served& done)
 {
-    const std::optional<messages::entry_poll> poll = read_message<messages::entry_poll>(request);
+    const std::optional<messages::entry_poll> poll =
+        wire::read_message<messages::entry_poll>(request);
     if (!poll.has_value()) {
         done(unreadable());
         return;
@@ -265,7 +267,7 @@
 void control_service::serve_claim_look_up(const wire::incoming_request& request, const served& done)
 {
     const std::optional<messages::look_up_claim> wanted =
-        read_message<messages::look_up_claim>(request);
+        wire::read_message<messages::look_up_claim>(request);
     if (!wanted.has_value()) {
         done(unreadable());
         return;
@@ -277,7 +279,7 @@
 void control_service::serve_operator_call(const wire::incoming_request& request, const served& done)
 {
     const std::optional<messages::operator_call> call =
-        read_message<messages::operator_call>(request);
+        wire::read_message<messages::operator_call>(request);
     if (!call.has_value()) {
         done(unreadable());
         return;
@@ -290,7 +292,7 @@
 void control_service::serve_replication(const wire::incoming_request& request)
 {
     const std::optional<replication::peer_message> message =
-        read_message<replication::peer_message>(request);
+        wire::read_message<replication::peer_message>(request);
     if (!message.has_value()) {
         return;
     }
--- a/src/libcontrol/control_service_members.cpp
+++ b/src/libcontrol/control_service_members.cpp
@@ -1,8 +1,8 @@
 #include <spdlog/spdlog.h>
 
-#include "message_reading.h"
 #include "operator_interface.h"
 #include "redwingwheel/control_service.h"
+#include "redwingwheel/message_reading.h"
 #include "redwingwheel/packing.h"
 
 /// How a control replica finds its group, and how the leader replaces a lost member.
@@ -27,7 +27,8 @@
 
 void control_service::serve_join(const wire::incoming_request& request)
 {
-    const std::optional<replication::member> joiner = read_message<replication::member>(request);
+    const std::optional<replication::member> joiner =
+        wire::read_message<replication::member>(request);
     if (!joiner.has_value() || !this->replica->leads()) {
         return;
     }
