--- a/src/include/redwingwheel/supervisor.h
+++ b/src/include/redwingwheel/supervisor.h
@@ -119,7 +119,6 @@
     std::uint64_t answered_poll = 0;
     std::size_t polls_in_flight = 0;
     bool poll_scheduled = false;
-    std::uint64_t announced_end = 0;
 };
 
 } // namespace redwingwheel::jobs
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -44,12 +44,6 @@
     return widest;
 }
 
-bool is_ordered_before(const std::tuple<urgency, int, std::uint32_t, std::int64_t>& left,
-                       const std::tuple<urgency, int, std::uint32_t, std::int64_t>& right)
-{
-    return left < right;
-}
-
 } // namespace
 
 scheduler::scheduler(const scheduler_options& chosen, clock_function now, const job_state& of)
@@ -162,10 +156,9 @@
         return std::make_tuple(each.rank, each.lateness, each.job->priority,
                                each.objective_unix_ms);
     };
-    std::stable_sort(waiting.begin(), waiting.end(),
-                     [&key](const candidate& left, const candidate& right) {
-                         return is_ordered_before(key(left), key(right));
-                     });
+    std::stable_sort(
+        waiting.begin(), waiting.end(),
+        [&key](const candidate& left, const candidate& right) { return key(left) < key(right); });
     for (const candidate& each : waiting) {
         this->place(now, each);
     }
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -247,17 +247,17 @@
     release_runs command;
     command.now_unix_ms = unix_ms();
     const steady_time now = boot_clock::now();
+    std::erase_if(this->proposed_releases,
+                  [now](const auto& each) { return now > each.second + release_retry; });
     for (const messages::refused_start& each : poll.refused) {
         const task_record* const task = this->state.find(each.run.task);
         if (task == nullptr || task->phase != task_phase::assigned ||
             task->last_run != each.run.number) {
             continue;
         }
-        steady_time& proposed = this->proposed_releases[each.run];
-        if (now < proposed + release_retry) {
+        if (!this->proposed_releases.emplace(each.run, now).second) {
             continue;
         }
-        proposed = now;
         this->decisions.note_refusal(poll.worker.incarnation);
         this->metrics.add("starts_refused_total", fmt::format("reason=\"{}\"", each.reason));
         spdlog::info("event=start_refused job={} task={} run={} worker={} reason={}",
--- a/src/libsupervisor/supervisor.cpp
+++ b/src/libsupervisor/supervisor.cpp
@@ -118,7 +118,6 @@
     this->running.clear();
     this->ends.clear();
     this->recorded_ends = 0;
-    this->announced_end = 0;
     this->has_orders = false;
     this->wanted.clear();
     this->starts.clear();
