Keep the check of the platform's names in platform/

Cause: the list of names stood in src/ itself. Ruled out: a change of what is checked; a probe header with one of the names is still caught. Change: the script moved, and the Makefile calls it there.

--- a/Makefile
+++ b/Makefile
@@ -43,5 +43,5 @@
 
 check: configure
 	@src/build-scripts/check_format.sh
-	@src/build-scripts/check_names.sh
+	@platform/check_names.sh
 	@src/build-scripts/check_lint.sh $(BUILD)
