Host a replica in one place

Cause: the group service and the control service each held a replica, its data folder, its connections to other replicas and its shared sync, in code that stood twice. Ruled out: one service for both; they found groups and answer calls in different ways. Change: cluster::replica_host carries the replica; both services use it.

--- a/src/include/redwingwheel/control_service.h
+++ b/src/include/redwingwheel/control_service.h
@@ -11,8 +11,8 @@
 #include "redwingwheel/control_loop.h"
 #include "redwingwheel/control_state.h"
 #include "redwingwheel/controller.h"
-#include "redwingwheel/file_log_storage.h"
 #include "redwingwheel/kernel.h"
+#include "redwingwheel/replica_host.h"
 #include "redwingwheel/replication.h"
 #include "redwingwheel/rpc.h"
 #include "redwingwheel/settings.h"
@@ -52,7 +52,6 @@
     using served = std::function<void(absl::StatusOr<std::string>)>;
 
     [[nodiscard]] replication::replica_hooks replica_hooks();
-    [[nodiscard]] absl::Status open_storage();
     void on_request(wire::incoming_request request, const wire::reply_function& reply);
     void serve(wire::incoming_request request, const wire::reply_function& reply);
     void serve_leader(wire::incoming_request request, const wire::reply_function& reply);
@@ -61,7 +60,6 @@
     void serve_claim(const wire::incoming_request& request, const served& done);
     void serve_claim_look_up(const wire::incoming_request& request, const served& done);
     void serve_operator_call(const wire::incoming_request& request, const served& done);
-    void serve_replication(const wire::incoming_request& request);
     [[nodiscard]] std::string formation_reply();
     void serve_join(const wire::incoming_request& request);
 
@@ -69,11 +67,7 @@
     void restore(const replication::snapshot& from);
     void on_leadership(const replication::leadership& now);
     void propose(const command& of, command_done done);
-    void schedule_flush();
     void schedule_decisions();
-    void send(replication::replica_id to, const replication::peer_message& message);
-    wire::rpc_client& client_for(const std::string& address);
-    [[nodiscard]] std::string leader_address() const;
 
     void tick();
     void decide();
@@ -87,19 +81,14 @@
     std::string secret;
     kernel::control_loop& loop;
     kernel::traffic_loop& traffic;
-    replication::posix_file_system files;
-    replication::file_log_storage storage;
+    cluster::replica_host member;
     control_state state;
-    std::unique_ptr<replication::replica> replica;
     std::unique_ptr<controller> decisions;
     std::unique_ptr<operator_interface> operators;
     std::unique_ptr<wire::rpc_server> server;
-    std::map<std::string, std::unique_ptr<wire::rpc_client>> clients;
-    std::map<replication::replica_id, std::string> reply_addresses;
     std::map<std::string, replication::formation_answer> formation_answers;
     std::vector<replication::member> joiners;
     std::map<std::uint64_t, command_result> results;
-    bool flush_scheduled = false;
     bool decisions_scheduled = false;
     bool stopping = false;
     steady_time next_decision;
--- a/src/include/redwingwheel/group_service.h
+++ b/src/include/redwingwheel/group_service.h
@@ -10,9 +10,9 @@
 
 #include "redwingwheel/cluster_messages.h"
 #include "redwingwheel/control_loop.h"
-#include "redwingwheel/file_log_storage.h"
 #include "redwingwheel/kernel.h"
 #include "redwingwheel/leader_client.h"
+#include "redwingwheel/replica_host.h"
 #include "redwingwheel/replication.h"
 #include "redwingwheel/rpc.h"
 #include "redwingwheel/seat_plan.h"
@@ -71,7 +71,6 @@
     void set_seeds(const std::vector<std::string>& seeds);
 
 private:
-    [[nodiscard]] absl::Status open_replica();
     void reopen_stopped_replica();
     [[nodiscard]] replication::replica_hooks replica_hooks();
     void on_request(wire::incoming_request request, const wire::reply_function& reply);
@@ -80,21 +79,17 @@
     [[nodiscard]] std::string hello_reply(const wire::incoming_request& request);
     void serve_found_group(const wire::incoming_request& request);
     void serve_join(const wire::incoming_request& request);
-    void serve_replication(const wire::incoming_request& request);
 
     [[nodiscard]] messages::peer_info own_info() const;
     [[nodiscard]] std::vector<std::string> replica_addresses() const;
     [[nodiscard]] std::string leader_address() const;
     void note_peer(const messages::peer_info& peer);
-    void send(replication::replica_id to, const replication::peer_message& message);
-    wire::rpc_client& client_for(const std::string& address);
 
     void tick();
     void introduce();
     void consider_founding();
     void ask_to_join();
     void advance_seats();
-    void schedule_flush();
 
     struct known_peer {
         messages::peer_info info;
@@ -108,15 +103,10 @@
     group_application application;
     std::map<std::uint16_t, leader_handler> handlers;
     std::unique_ptr<control::leader_client> client;
-    std::unique_ptr<replication::posix_file_system> files;
-    std::unique_ptr<replication::file_log_storage> storage;
-    std::unique_ptr<replication::replica> replica;
+    std::unique_ptr<replica_host> member;
     std::unique_ptr<wire::rpc_server> server;
-    std::map<std::string, std::unique_ptr<wire::rpc_client>> clients;
-    std::map<replication::replica_id, std::string> reply_addresses;
     std::map<std::string, known_peer> peers;
     std::map<replication::replica_id, seat_claim> joiners;
-    bool flush_scheduled = false;
     bool stopping = false;
     bool draining = false;
     bool led = false;
--- a/src/libcluster/group_service.cpp
+++ b/src/libcluster/group_service.cpp
@@ -1,7 +1,6 @@
 #include "redwingwheel/group_service.h"
 
 #include <algorithm>
-#include <random>
 
 #include <fmt/format.h>
 #include <spdlog/spdlog.h>
@@ -25,16 +24,9 @@
 /// A storage that failed is opened again after this long; full disks are cleared in seconds.
 constexpr milliseconds reopen_wait{1000};
 constexpr milliseconds seat_step_period{200};
-constexpr milliseconds peer_call_patience{2000};
 /// Peers that were not heard of for this long are not passed on.
 constexpr milliseconds peer_life{10000};
 
-std::uint64_t draw_random()
-{
-    static thread_local std::mt19937_64 engine(std::random_device{}());
-    return engine();
-}
-
 } // namespace
 
 group_service::group_service(const config::settings& chosen, std::string_view cluster_secret,
@@ -43,6 +35,13 @@
 {
     this->client = std::make_unique<control::leader_client>(
         this->loop, this->traffic, this->settings.cluster.seeds, this->secret);
+    replication::replica_options options;
+    options.address = this->settings.cluster.listen;
+    options.data_centre = this->settings.data_centre;
+    options.election_timeout = election_timeout;
+    options.heartbeat_interval = heartbeat_interval;
+    this->member = std::make_unique<replica_host>(this->settings.data_folder, options, this->secret,
+                                                  this->loop, this->traffic);
 }
 
 group_service::~group_service() = default;
@@ -60,9 +59,6 @@
 replication::replica_hooks group_service::replica_hooks()
 {
     replication::replica_hooks hooks;
-    hooks.send = [this](replication::replica_id to, const replication::peer_message& message) {
-        this->send(to, message);
-    };
     hooks.apply = [this](const replication::log_entry& entry) {
         this->application.apply(entry.index.value, entry.payload);
     };
@@ -83,30 +79,15 @@
             this->application.leadership_changed(now.self_leads, now.term.value);
         }
     };
-    hooks.random = draw_random;
     return hooks;
 }
 
-absl::Status group_service::open_replica()
-{
-    this->files = std::make_unique<replication::posix_file_system>(this->settings.data_folder);
-    this->storage = std::make_unique<replication::file_log_storage>(*this->files, draw_random);
-    replication::replica_options options;
-    options.address = this->settings.cluster.listen;
-    options.data_centre = this->settings.data_centre;
-    options.election_timeout = election_timeout;
-    options.heartbeat_interval = heartbeat_interval;
-    this->replica = std::make_unique<replication::replica>(
-        options, *this->storage, system_clock_function(), this->replica_hooks());
-    return this->replica->start();
-}
-
 absl::Status group_service::start()
 {
     this->started_at = boot_clock::now();
     this->last_new_peer = this->started_at;
     if (!this->settings.data_folder.empty()) {
-        const absl::Status opened = this->open_replica();
+        const absl::Status opened = this->member->open(this->replica_hooks());
         if (!opened.ok()) {
             return opened;
         }
@@ -128,11 +109,11 @@
         }
     }
     this->loop.post([this] { this->tick(); });
-    this->loop.run_every(this->replica != nullptr ? tick_period : eager_introduction_period,
+    this->loop.run_every(this->member->is_open() ? tick_period : eager_introduction_period,
                          [this] { this->tick(); });
     spdlog::info("event=group_started address={} replica={} has_state={} founding={}",
-                 this->settings.cluster.listen, this->replica != nullptr,
-                 this->replica != nullptr && this->replica->has_state(),
+                 this->settings.cluster.listen, this->member->is_open(),
+                 this->member->is_open() && this->member->replica().has_state(),
                  this->settings.cluster.founding);
     return absl::OkStatus();
 }
@@ -142,8 +123,8 @@
     static_cast<void>(deadline);
     this->loop.run_and_wait([this] {
         this->draining = true;
-        if (this->replica != nullptr) {
-            this->replica->resign();
+        if (this->member->is_open()) {
+            this->member->replica().resign();
         }
     });
 }
@@ -155,33 +136,23 @@
     }
     this->loop.run_and_wait([this] {
         this->stopping = true;
-        this->clients.clear();
+        this->member->disconnect();
     });
 }
 
 bool group_service::leads() const
 {
-    return this->replica != nullptr && this->replica->leads();
+    return this->member->is_open() && this->member->replica().leads();
 }
 
 void group_service::propose(std::string command, replication::replica::propose_done done)
 {
-    if (this->replica == nullptr) {
-        done(make_error(replication::replication_errc::not_leader, "no replica here"));
-        return;
-    }
-    this->replica->propose(std::move(command), std::move(done));
-    this->schedule_flush();
+    this->member->propose(std::move(command), std::move(done));
 }
 
 void group_service::confirm_leadership(replication::replica::status_done done)
 {
-    if (this->replica == nullptr) {
-        done(make_error(replication::replication_errc::not_leader, "no replica here"));
-        return;
-    }
-    this->replica->read_barrier(std::move(done));
-    this->schedule_flush();
+    this->member->confirm_leadership(std::move(done));
 }
 
 void group_service::set_seeds(const std::vector<std::string>& seeds)
@@ -192,21 +163,6 @@
     });
 }
 
-void group_service::schedule_flush()
-{
-    if (this->flush_scheduled) {
-        return;
-    }
-    // Everything proposed until the posted task runs shares one sync.
-    this->flush_scheduled = true;
-    this->loop.post([this] {
-        this->flush_scheduled = false;
-        if (this->replica != nullptr) {
-            this->replica->flush();
-        }
-    });
-}
-
 void group_service::on_request(wire::incoming_request request, const wire::reply_function& reply)
 {
     this->loop.post([this, request = std::move(request), reply]() mutable {
@@ -231,7 +187,7 @@
         reply(std::string());
         return;
     case messages::kind::replication:
-        this->serve_replication(request);
+        this->member->receive(request);
         reply(std::string());
         return;
     default:
@@ -283,10 +239,10 @@
     info.address = this->settings.cluster.listen;
     info.data_centre = this->settings.data_centre;
     info.founding = this->settings.cluster.founding;
-    if (this->replica != nullptr) {
+    if (this->member->is_open()) {
         info.replica = true;
-        info.identity = this->replica->identity();
-        info.has_state = this->replica->has_state();
+        info.identity = this->member->replica().identity();
+        info.has_state = this->member->replica().has_state();
     }
     return info;
 }
@@ -294,8 +250,8 @@
 std::vector<std::string> group_service::replica_addresses() const
 {
     std::vector<std::string> addresses;
-    if (this->replica != nullptr) {
-        for (const replication::member& each : this->replica->members()) {
+    if (this->member->is_open()) {
+        for (const replication::member& each : this->member->replica().members()) {
             addresses.push_back(each.address);
         }
     }
@@ -312,16 +268,10 @@
 
 std::string group_service::leader_address() const
 {
-    if (this->replica == nullptr) {
+    if (!this->member->is_open()) {
         return this->client->in_touch() ? this->client->followed_address() : "";
     }
-    const std::optional<replication::replica_id> leader = this->replica->known_leader();
-    if (!leader.has_value() || (this->draining && *leader == this->replica->identity())) {
-        return "";
-    }
-    const replication::member* const member =
-        replication::find_member(this->replica->members(), *leader);
-    return member == nullptr ? "" : member->address;
+    return this->draining && this->leads() ? "" : this->member->leader_address();
 }
 
 void group_service::note_peer(const messages::peer_info& peer)
@@ -351,8 +301,8 @@
     answer.self = this->own_info();
     answer.replicas = this->replica_addresses();
     answer.leader = this->leader_address();
-    answer.term =
-        this->replica == nullptr ? this->client->term() : this->replica->status().term.value;
+    answer.term = !this->member->is_open() ? this->client->term()
+                                           : this->member->replica().status().term.value;
     return pack(answer);
 }
 
@@ -360,11 +310,11 @@
 {
     const std::optional<messages::found_group> order =
         wire::read_message<messages::found_group>(request);
-    if (!order.has_value() || this->replica == nullptr || this->replica->has_state() ||
+    if (!order.has_value() || !this->member->is_open() || this->member->replica().has_state() ||
         !this->settings.cluster.founding) {
         return;
     }
-    const absl::Status formed = this->replica->form(order->members);
+    const absl::Status formed = this->member->replica().form(order->members);
     spdlog::info("event=group_founded members={} result=\"{}\"", order->members.size(),
                  formed.ToString());
 }
@@ -383,53 +333,6 @@
     this->joiners[joiner->id] = {*joiner, boot_clock::now()};
 }
 
-void group_service::serve_replication(const wire::incoming_request& request)
-{
-    const std::optional<replication::peer_message> message =
-        wire::read_message<replication::peer_message>(request);
-    if (!message.has_value() || this->replica == nullptr) {
-        return;
-    }
-    if (!message->reply_address.empty()) {
-        this->reply_addresses[message->from] = message->reply_address;
-    }
-    this->replica->receive(message->from, *message);
-}
-
-void group_service::send(replication::replica_id to, const replication::peer_message& message)
-{
-    std::string address;
-    const replication::member* const member =
-        replication::find_member(this->replica->members(), to);
-    if (member != nullptr) {
-        address = member->address;
-    }
-    else {
-        const auto found = this->reply_addresses.find(to);
-        if (found == this->reply_addresses.end()) {
-            return;
-        }
-        address = found->second;
-    }
-    this->client_for(address).call(static_cast<std::uint16_t>(messages::kind::replication),
-                                   pack(message), boot_clock::now() + peer_call_patience,
-                                   [](const absl::StatusOr<std::string>&) {});
-}
-
-wire::rpc_client& group_service::client_for(const std::string& address)
-{
-    std::unique_ptr<wire::rpc_client>& found = this->clients[address];
-    if (found == nullptr) {
-        wire::rpc_options options;
-        // A replica that restarts is wanted back within an election.
-        options.max_reconnect_wait = milliseconds(200);
-        found = std::make_unique<wire::rpc_client>(
-            this->traffic, wire::parse_address(address).value_or(wire::address()), this->secret,
-            options);
-    }
-    return *found;
-}
-
 void group_service::tick()
 {
     if (this->stopping) {
@@ -437,10 +340,10 @@
     }
     const steady_time now = boot_clock::now();
     this->reopen_stopped_replica();
-    if (this->replica != nullptr) {
-        this->replica->tick();
+    if (this->member->is_open()) {
+        this->member->replica().tick();
         if (this->draining && this->leads()) {
-            this->replica->resign();
+            this->member->replica().resign();
         }
     }
     if (now >= this->next_introduction) {
@@ -462,29 +365,30 @@
 void group_service::reopen_stopped_replica()
 {
     const steady_time now = boot_clock::now();
-    if (this->replica != nullptr &&
-        this->replica->status().role == replication::replica_role::stopped) {
+    if (this->member->is_open() &&
+        this->member->replica().status().role == replication::replica_role::stopped) {
         spdlog::error("event=replica_stopped reason=\"{}\"",
-                      this->replica->status().stopped_reason);
+                      this->member->replica().status().stopped_reason);
         if (this->led) {
             this->led = false;
-            this->application.leadership_changed(false, this->replica->status().term.value);
+            this->application.leadership_changed(false,
+                                                 this->member->replica().status().term.value);
         }
-        this->replica.reset();
+        this->member->close();
         this->reopen_at = now + reopen_wait;
     }
     if (!this->reopen_at.has_value() || now < *this->reopen_at) {
         return;
     }
     this->application.reset();
-    const absl::Status opened = this->open_replica();
+    const absl::Status opened = this->member->open(this->replica_hooks());
     if (opened.ok()) {
-        spdlog::info("event=replica_reopened has_state={}", this->replica->has_state());
+        spdlog::info("event=replica_reopened has_state={}", this->member->replica().has_state());
         this->reopen_at.reset();
         return;
     }
     spdlog::warn("event=replica_not_reopened error=\"{}\"", errors::message_of(opened));
-    this->replica.reset();
+    this->member->close();
     this->reopen_at = now + reopen_wait;
 }
 
--- a/src/libcluster/group_service_members.cpp
+++ b/src/libcluster/group_service_members.cpp
@@ -51,7 +51,7 @@
         now < this->last_new_peer + founding_settles) {
         return;
     }
-    if (this->replica != nullptr) {
+    if (this->member->is_open()) {
         this->note_peer(this->own_info());
     }
     std::vector<replication::member> candidates;
@@ -80,24 +80,25 @@
         this->serve_found_group({0, order, {}});
         return;
     }
-    this->client_for(lowest->address)
+    this->member->client_for(lowest->address)
         .call(static_cast<std::uint16_t>(messages::kind::found_group), order,
               now + introduction_patience, [](const absl::StatusOr<std::string>&) {});
 }
 
 void group_service::ask_to_join()
 {
-    if (this->replica == nullptr || this->leads()) {
+    if (!this->member->is_open() || this->leads()) {
         return;
     }
-    const replication::member* const own =
-        replication::find_member(this->replica->members(), this->replica->identity());
+    const replication::member* const own = replication::find_member(
+        this->member->replica().members(), this->member->replica().identity());
     // A member that hears of no leader may have lost its seat while it was away.
-    if (own != nullptr && this->replica->known_leader().has_value()) {
+    if (own != nullptr && this->member->replica().known_leader().has_value()) {
         return;
     }
-    const replication::member self{this->replica->identity(), this->settings.cluster.listen,
-                                   this->settings.data_centre, false};
+    const replication::member self{this->member->replica().identity(),
+                                   this->settings.cluster.listen, this->settings.data_centre,
+                                   false};
     this->client->broadcast(messages::kind::join, pack(self),
                             boot_clock::now() + introduction_patience,
                             [](const std::string&, const std::string&) {});
@@ -114,7 +115,8 @@
     for (const auto& [id, claim] : this->joiners) {
         claims.push_back(claim);
     }
-    const seat_step step = plan_seats(this->replica->status(), claims, options, boot_clock::now());
+    const seat_step step =
+        plan_seats(this->member->replica().status(), claims, options, boot_clock::now());
     const replication::replica::status_done report =
         [address = step.subject.address, id = step.subject.id,
          action = static_cast<int>(step.action)](const absl::Status& result) {
@@ -123,18 +125,18 @@
         };
     switch (step.action) {
     case seat_action::add_learner:
-        this->replica->add_learner(step.subject, report);
+        this->member->replica().add_learner(step.subject, report);
         break;
     case seat_action::promote:
-        this->replica->promote(step.subject.id, report);
+        this->member->replica().promote(step.subject.id, report);
         break;
     case seat_action::remove:
-        this->replica->remove(step.subject.id, report);
+        this->member->replica().remove(step.subject.id, report);
         break;
     case seat_action::none:
         return;
     }
-    this->schedule_flush();
+    this->member->schedule_flush();
 }
 
 } // namespace redwingwheel::cluster
--- a/src/libcontrol/control_service.cpp
+++ b/src/libcontrol/control_service.cpp
@@ -1,7 +1,5 @@
 #include "redwingwheel/control_service.h"
 
-#include <random>
-
 #include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
@@ -16,16 +14,9 @@
 constexpr milliseconds tick_period{20};
 constexpr milliseconds decision_period{50};
 constexpr milliseconds group_search_period{250};
-constexpr milliseconds peer_call_patience{2000};
 /// Results of applied commands that nobody on this replica waits for are dropped beyond this.
 constexpr std::size_t results_kept = 4096;
 
-std::uint64_t draw_random()
-{
-    static thread_local std::mt19937_64 engine(std::random_device{}());
-    return engine();
-}
-
 std::int64_t unix_ms()
 {
     return std::chrono::duration_cast<milliseconds>(
@@ -33,6 +24,14 @@
         .count();
 }
 
+replication::replica_options replica_options_from(const config::settings& settings)
+{
+    replication::replica_options options;
+    options.address = settings.control.listen;
+    options.data_centre = settings.data_centre;
+    return options;
+}
+
 controller_options options_from(const config::settings& settings)
 {
     controller_options options;
@@ -53,7 +52,9 @@
                                  kernel::control_loop& control_loop,
                                  kernel::traffic_loop& traffic_loop)
     : settings(chosen), secret(cluster_secret), loop(control_loop), traffic(traffic_loop),
-      files(chosen.data_folder), storage(this->files, draw_random), state(check_feasibility)
+      member(chosen.data_folder, replica_options_from(chosen), cluster_secret, control_loop,
+             traffic_loop),
+      state(check_feasibility)
 {
     controller_hooks hooks;
     hooks.propose = [this](const command& of, command_done done) {
@@ -64,7 +65,7 @@
                                                    this->state, hooks);
     this->operators = std::make_unique<operator_interface>(
         this->state, *this->decisions, hooks, system_clock_function(),
-        [this] { return this->replica->status(); });
+        [this] { return this->member.replica().status(); });
 }
 
 control_service::~control_service() = default;
@@ -72,32 +73,18 @@
 replication::replica_hooks control_service::replica_hooks()
 {
     replication::replica_hooks hooks;
-    hooks.send = [this](replication::replica_id to, const replication::peer_message& message) {
-        this->send(to, message);
-    };
     hooks.apply = [this](const replication::log_entry& entry) { this->apply(entry); };
     hooks.take_snapshot = [this] { return this->state.pack_snapshot(); };
     hooks.restore_snapshot = [this](const replication::snapshot& from) { this->restore(from); };
     hooks.leadership_changed = [this](const replication::leadership& now) {
         this->on_leadership(now);
     };
-    hooks.random = draw_random;
     return hooks;
 }
 
-absl::Status control_service::open_storage()
-{
-    replication::replica_options options;
-    options.address = this->settings.control.listen;
-    options.data_centre = this->settings.data_centre;
-    this->replica = std::make_unique<replication::replica>(
-        options, this->storage, system_clock_function(), this->replica_hooks());
-    return this->replica->start();
-}
-
 absl::Status control_service::start()
 {
-    const absl::Status opened = this->open_storage();
+    const absl::Status opened = this->member.open(this->replica_hooks());
     if (!opened.ok()) {
         return opened;
     }
@@ -116,15 +103,15 @@
     }
     this->loop.run_every(tick_period, [this] { this->tick(); });
     spdlog::info("event=control_started address={} identity={:016x} has_state={}",
-                 this->settings.control.listen, this->replica->identity().value,
-                 this->replica->has_state());
+                 this->settings.control.listen, this->member.replica().identity().value,
+                 this->member.replica().has_state());
     return absl::OkStatus();
 }
 
 void control_service::drain(steady_time deadline)
 {
     static_cast<void>(deadline);
-    this->loop.run_and_wait([this] { this->replica->resign(); });
+    this->loop.run_and_wait([this] { this->member.replica().resign(); });
 }
 
 void control_service::stop()
@@ -133,7 +120,7 @@
     this->loop.run_and_wait([this] {
         this->stopping = true;
         this->decisions->end_leadership();
-        this->clients.clear();
+        this->member.disconnect();
     });
 }
 
@@ -150,7 +137,7 @@
 {
     switch (static_cast<messages::kind>(request.kind)) {
     case messages::kind::replication:
-        this->serve_replication(request);
+        this->member.receive(request);
         reply(std::string());
         return;
     case messages::kind::formation:
@@ -169,9 +156,9 @@
                                    const wire::reply_function& reply)
 {
     messages::control_reply answer;
-    if (!this->replica->leads() || !this->decisions->leading()) {
+    if (!this->member.replica().leads() || !this->decisions->leading()) {
         answer.result = messages::control_reply::verdict::not_leader;
-        answer.leader = this->leader_address();
+        answer.leader = this->member.leader_address();
         reply(pack(answer));
         return;
     }
@@ -289,19 +276,6 @@
     this->schedule_decisions();
 }
 
-void control_service::serve_replication(const wire::incoming_request& request)
-{
-    const std::optional<replication::peer_message> message =
-        wire::read_message<replication::peer_message>(request);
-    if (!message.has_value()) {
-        return;
-    }
-    if (!message->reply_address.empty()) {
-        this->reply_addresses[message->from] = message->reply_address;
-    }
-    this->replica->receive(message->from, *message);
-}
-
 void control_service::apply(const replication::log_entry& entry)
 {
     const absl::StatusOr<command> read_command = unpack_command(entry.payload);
@@ -341,8 +315,8 @@
 
 void control_service::propose(const command& of, command_done done)
 {
-    this->replica->propose(pack_command(of), [this, done = std::move(done)](
-                                                 absl::StatusOr<replication::log_index> index) {
+    this->member.propose(pack_command(of), [this, done = std::move(done)](
+                                               absl::StatusOr<replication::log_index> index) {
         if (!index.ok()) {
             done(index.status());
             return;
@@ -356,20 +330,6 @@
         this->results.erase(found);
         done(result);
     });
-    this->schedule_flush();
-}
-
-void control_service::schedule_flush()
-{
-    if (this->flush_scheduled) {
-        return;
-    }
-    // Everything proposed until the posted task runs shares one sync.
-    this->flush_scheduled = true;
-    this->loop.post([this] {
-        this->flush_scheduled = false;
-        this->replica->flush();
-    });
 }
 
 void control_service::schedule_decisions()
@@ -384,58 +344,12 @@
     });
 }
 
-void control_service::send(replication::replica_id to, const replication::peer_message& message)
-{
-    std::string address;
-    const replication::member* const member =
-        replication::find_member(this->replica->members(), to);
-    if (member != nullptr) {
-        address = member->address;
-    }
-    else {
-        const auto found = this->reply_addresses.find(to);
-        if (found == this->reply_addresses.end()) {
-            return;
-        }
-        address = found->second;
-    }
-    const steady_time deadline = boot_clock::now() + peer_call_patience;
-    this->client_for(address).call(static_cast<std::uint16_t>(messages::kind::replication),
-                                   pack(message), deadline,
-                                   [](const absl::StatusOr<std::string>&) {});
-}
-
-wire::rpc_client& control_service::client_for(const std::string& address)
-{
-    std::unique_ptr<wire::rpc_client>& client = this->clients[address];
-    if (client == nullptr) {
-        wire::rpc_options options;
-        // A replica that restarts is wanted back within an election.
-        options.max_reconnect_wait = milliseconds(200);
-        client = std::make_unique<wire::rpc_client>(
-            this->traffic, wire::parse_address(address).value_or(wire::address()), this->secret,
-            options);
-    }
-    return *client;
-}
-
-std::string control_service::leader_address() const
-{
-    const std::optional<replication::replica_id> leader = this->replica->known_leader();
-    if (!leader.has_value()) {
-        return "";
-    }
-    const replication::member* const member =
-        replication::find_member(this->replica->members(), *leader);
-    return member == nullptr ? "" : member->address;
-}
-
 void control_service::tick()
 {
     if (this->stopping) {
         return;
     }
-    this->replica->tick();
+    this->member.replica().tick();
     const steady_time now = boot_clock::now();
     if (now >= this->next_decision) {
         this->next_decision = now + decision_period;
@@ -450,7 +364,7 @@
 
 void control_service::decide()
 {
-    if (!this->stopping && this->replica->leads()) {
+    if (!this->stopping && this->member.replica().leads()) {
         this->decisions->tick();
         this->operators->tick();
     }
@@ -460,8 +374,8 @@
 {
     gauges read;
     this->loop.run_and_wait([this, &read] {
-        const replication::replica_status status = this->replica->status();
-        read.leads = this->replica->leads();
+        const replication::replica_status status = this->member.replica().status();
+        read.leads = this->member.replica().leads();
         read.term = status.term.value;
         read.commit = status.commit.value;
         read.revision = this->state.configuration().revision();
--- a/src/libcontrol/control_service_members.cpp
+++ b/src/libcontrol/control_service_members.cpp
@@ -16,8 +16,8 @@
 
 replication::formation_answer control_service::own_formation() const
 {
-    return {this->settings.control.listen, this->settings.data_centre, this->replica->identity(),
-            this->replica->has_state()};
+    return {this->settings.control.listen, this->settings.data_centre,
+            this->member.replica().identity(), this->member.replica().has_state()};
 }
 
 std::string control_service::formation_reply()
@@ -29,7 +29,7 @@
 {
     const std::optional<replication::member> joiner =
         wire::read_message<replication::member>(request);
-    if (!joiner.has_value() || !this->replica->leads()) {
+    if (!joiner.has_value() || !this->member.replica().leads()) {
         return;
     }
     for (const replication::member& known : this->joiners) {
@@ -44,7 +44,7 @@
 
 void control_service::seek_group()
 {
-    if (this->replica->has_state()) {
+    if (this->member.replica().has_state()) {
         return;
     }
     replication::formation_input input;
@@ -55,7 +55,7 @@
     }
     const replication::formation_decision decision = replication::decide_formation(input);
     if (decision.action == replication::formation_action::form) {
-        const absl::Status formed = this->replica->form(decision.members);
+        const absl::Status formed = this->member.replica().form(decision.members);
         spdlog::info("event=group_formed members={} result=\"{}\"", decision.members.size(),
                      formed.ToString());
         return;
@@ -73,42 +73,43 @@
 void control_service::ask_formation(const std::string& address)
 {
     const steady_time deadline = boot_clock::now() + answer_patience;
-    this->client_for(address).call(static_cast<std::uint16_t>(messages::kind::formation), "",
-                                   deadline, [this, address](absl::StatusOr<std::string> body) {
-                                       if (!body.ok()) {
-                                           return;
-                                       }
-                                       const absl::StatusOr<replication::formation_answer> answer =
-                                           unpack<replication::formation_answer>(*body);
-                                       if (answer.ok()) {
-                                           this->loop.post([this, address, answer = *answer] {
-                                               this->formation_answers[address] = answer;
-                                           });
-                                       }
-                                   });
+    this->member.client_for(address).call(
+        static_cast<std::uint16_t>(messages::kind::formation), "", deadline,
+        [this, address](absl::StatusOr<std::string> body) {
+            if (!body.ok()) {
+                return;
+            }
+            const absl::StatusOr<replication::formation_answer> answer =
+                unpack<replication::formation_answer>(*body);
+            if (answer.ok()) {
+                this->loop.post([this, address, answer = *answer] {
+                    this->formation_answers[address] = answer;
+                });
+            }
+        });
 }
 
 void control_service::ask_to_join()
 {
-    const replication::member self{this->replica->identity(), this->settings.control.listen,
+    const replication::member self{this->member.replica().identity(), this->settings.control.listen,
                                    this->settings.data_centre, false};
     const steady_time deadline = boot_clock::now() + answer_patience;
     for (const std::string& address : this->settings.control.replicas) {
         if (address != this->settings.control.listen) {
-            this->client_for(address).call(static_cast<std::uint16_t>(messages::kind::join),
-                                           pack(self), deadline,
-                                           [](const absl::StatusOr<std::string>&) {});
+            this->member.client_for(address).call(static_cast<std::uint16_t>(messages::kind::join),
+                                                  pack(self), deadline,
+                                                  [](const absl::StatusOr<std::string>&) {});
         }
     }
 }
 
 void control_service::advance_replacement()
 {
-    if (this->joiners.empty() || !this->replica->leads()) {
+    if (this->joiners.empty() || !this->member.replica().leads()) {
         return;
     }
     const replication::member joiner = this->joiners.front();
-    const replication::replica_status status = this->replica->status();
+    const replication::replica_status status = this->member.replica().status();
     bool caught_up = false;
     for (const replication::member_status& each : status.members) {
         if (each.who.id == joiner.id) {
@@ -116,20 +117,20 @@
         }
     }
     const replication::replacement_step step =
-        replication::plan_replacement(this->replica->members(), joiner, caught_up);
+        replication::plan_replacement(this->member.replica().members(), joiner, caught_up);
     const replication::replica::status_done report = [address = step.subject.address](
                                                          const absl::Status& result) {
         spdlog::info("event=member_changed address={} result=\"{}\"", address, result.ToString());
     };
     switch (step.action) {
     case replication::replacement_action::add_learner:
-        this->replica->add_learner(step.subject, report);
+        this->member.replica().add_learner(step.subject, report);
         return;
     case replication::replacement_action::promote:
-        this->replica->promote(step.subject.id, report);
+        this->member.replica().promote(step.subject.id, report);
         return;
     case replication::replacement_action::remove:
-        this->replica->remove(step.subject.id, report);
+        this->member.replica().remove(step.subject.id, report);
         return;
     case replication::replacement_action::none:
         this->joiners.erase(this->joiners.begin());
