--- a/src/libjobs/scheduler_test.cpp
+++ b/src/libjobs/scheduler_test.cpp
@@ -159,6 +159,31 @@
     }
 }
 
+// Failure: tasks of a step that must be spread crowd on one worker.
+TEST_CASE("a worker gets no more tasks of a step than its limit, over several rounds")
+{
+    world w;
+    w.add_worker("a", "r1");
+    job_definition job;
+    step_definition step;
+    step.tasks = 5;
+    step.per_worker_limit = 2;
+    step.estimate_ms = 5000;
+    step.each = {1000, 1000, 1};
+    job.steps = {step};
+    REQUIRE(w.state.apply(submit_job{"spread", "h", "/batch/spread", "key", job, w.unix_ms}) ==
+            job_verdict::accepted);
+    w.decide();
+    CHECK(w.state.runs_on(w.workers["a"].incarnation).size() == 2);
+    CHECK(w.decide().assignments.empty());
+    w.add_worker("b", "r1");
+    w.decide();
+    CHECK(w.state.runs_on(w.workers["b"].incarnation).size() == 2);
+    w.end({{"spread", 0, 0, 0}, 1}, run_end::done);
+    w.decide();
+    CHECK(w.state.runs_on(w.workers["a"].incarnation).size() == 2);
+}
+
 // Failure: work starts in a data centre that was taken out, or on a worker that shuts down.
 TEST_CASE("nothing is placed where nothing may start")
 {
