Resume a gang from one checkpoint

Cause: each member of a gang was started with the checkpoint that it had listed itself. Members list different ones, and a gang whose members carry different ones begins anew, so an evicted gang lost all its work although it can resume. Ruled out: the checkpoint in the last report, which is used only for runs that are given up. Change: the newest checkpoint of any member is kept for all of them; what a stop saved goes before what the others list. The test fails without it.

--- a/src/include/redwingwheel/job_state.h
+++ b/src/include/redwingwheel/job_state.h
@@ -114,7 +114,11 @@
     /// Gangs: runs in which a member failed.
     std::uint32_t gang_failures = 0;
     std::uint32_t last_failed_run = 0;
-    MSGPACK_DEFINE(tasks, done, assigned, gang_failures, last_failed_run)
+    /// Gangs: the run that the members' common checkpoint is of, and whether a stop saved it.
+    std::uint32_t checkpoint_run = 0;
+    bool checkpoint_from_stop = false;
+    MSGPACK_DEFINE(tasks, done, assigned, gang_failures, last_failed_run, checkpoint_run,
+                   checkpoint_from_stop)
 };
 
 struct occurrence_record {
@@ -213,6 +217,8 @@
 
     [[nodiscard]] bool can_assign(const assignment& each) const;
     void record_end(const listed_end& end, std::int64_t now_unix_ms);
+    static void keep_checkpoint(const step_definition& definition, step_record& step,
+                                const run_id& run, const std::string& checkpoint, bool from_stop);
     void finish_tasks(const step_definition& definition, step_record& step, const task_id& ended);
     void count_failure(job_record& job, const listed_end& end, std::int64_t now_unix_ms);
     void detach(const run_id& run, task_record& task, step_record& step);
--- a/src/libjobs/job_state.cpp
+++ b/src/libjobs/job_state.cpp
@@ -182,9 +182,7 @@
         job_record& job = this->held.jobs.at(id.job);
         step_record& step = job.open.at(id.occurrence).steps[id.step];
         task_record& task = step.tasks[id.index];
-        if (!each.checkpoint.empty()) {
-            task.checkpoint = each.checkpoint;
-        }
+        keep_checkpoint(job.definition.steps[id.step], step, each.run, each.checkpoint, false);
         this->detach(each.run, task, step);
         this->settle(job, id.occurrence, command.now_unix_ms);
     }
@@ -216,9 +214,8 @@
     if (task.phase == task_phase::assigned) {
         this->detach(end.run, task, step);
     }
-    if (!end.checkpoint.empty()) {
-        task.checkpoint = end.checkpoint;
-    }
+    keep_checkpoint(job.definition.steps[id.step], step, end.run, end.checkpoint,
+                    end.how == run_end::stopped);
     if (end.how == run_end::done) {
         this->finish_tasks(job.definition.steps[id.step], step, id);
     }
@@ -228,6 +225,28 @@
     this->settle(job, id.occurrence, now_unix_ms);
 }
 
+/// The members of a gang go on from one checkpoint, which any of them may have saved. A member that
+/// is stopped saves what it has done until then; the others may only list what they saved before.
+void job_state::keep_checkpoint(const step_definition& definition, step_record& step,
+                                const run_id& run, const std::string& checkpoint, bool from_stop)
+{
+    if (checkpoint.empty()) {
+        return;
+    }
+    if (!definition.gang) {
+        step.tasks[run.task.index].checkpoint = checkpoint;
+        return;
+    }
+    if (step.checkpoint_run == run.number && step.checkpoint_from_stop && !from_stop) {
+        return;
+    }
+    step.checkpoint_run = run.number;
+    step.checkpoint_from_stop = from_stop;
+    for (task_record& member : step.tasks) {
+        member.checkpoint = checkpoint;
+    }
+}
+
 /// The members of a gang are done together: one such end stands for all of them.
 void job_state::finish_tasks(const step_definition& definition, step_record& step,
                              const task_id& ended)
--- a/src/libjobs/job_state_test.cpp
+++ b/src/libjobs/job_state_test.cpp
@@ -178,6 +178,28 @@
           job_verdict::accepted);
 }
 
+// Failure: the members of a gang resume from different checkpoints, so that none of them counts.
+TEST_CASE("a gang resumes from one checkpoint of any member")
+{
+    job_state state = with_job(make_job(3, true));
+    state.apply(
+        give({{run_of(0, 1), worker_a}, {run_of(1, 1), worker_b}, {run_of(2, 1), worker_b}}));
+    state.apply(ends_of(worker_a, {{1, run_of(0, 1), run_end::stopped, "at stop"}}));
+    state.apply(ends_of(worker_b, {{1, run_of(1, 1), run_end::broken, "earlier"}}));
+    state.apply(release_runs{{{run_of(2, 1), "earlier still"}}, 2000});
+    for (std::uint32_t index = 0; index < 3; ++index) {
+        CHECK(state.find(run_of(index, 1).task)->checkpoint == "at stop");
+    }
+    state.apply(
+        give({{run_of(0, 2), worker_a}, {run_of(1, 2), worker_b}, {run_of(2, 2), worker_b}}));
+    state.apply(ends_of(worker_a, {{2, run_of(0, 2), run_end::broken, ""}}));
+    state.apply(ends_of(worker_b, {{2, run_of(1, 2), run_end::lapsed, "of run 2"},
+                                   {3, run_of(2, 2), run_end::broken, ""}}));
+    for (std::uint32_t index = 0; index < 3; ++index) {
+        CHECK(state.find(run_of(index, 2).task)->checkpoint == "of run 2");
+    }
+}
+
 // Failure: an end that the worker lists again is counted twice.
 TEST_CASE("an end is recorded once")
 {
