Add a soak with real daemons under random faults

Cause: the promises of the system were checked under the bench and in unit tests, never with daemons as processes of their own that are paused, killed and cut off from outside. Ruled out: a mode of the daemon for it; faults come from signals, file limits, relays and stand-in workers.

--- a/Makefile
+++ b/Makefile
@@ -4,12 +4,13 @@
 EXAMPLE ?= inspector
 SECONDS ?= 30
 SEED ?= 0
+SEEDS ?= 1
 JOBS ?= $(shell nproc)
 
 comma := ,
 BUILD := build$(if $(SANITIZE),-$(subst $(comma),-,$(SANITIZE)))
 
-.PHONY: all packages configure build test run bench faults format lint check
+.PHONY: all packages configure build test run bench faults soak format lint check
 
 all: build
 
@@ -35,6 +36,10 @@
 	@$(BUILD)/bin/redwingwheel-faults --seconds $(SECONDS) \
 	    --seed $(if $(filter 0,$(SEED)),$(shell date +%s),$(SEED))
 
+# Real daemons under random faults, one seed after the other; keeps the data and logs of a failure.
+soak: build
+	@src/build-scripts/soak.sh $(BUILD)/bin $(SECONDS) $(SEED) $(SEEDS)
+
 bench: build
 	@src/build-scripts/bench.sh $(BUILD)/bin $(BUILD)/bench
 
--- a/src/include/redwingwheel/settings.h
+++ b/src/include/redwingwheel/settings.h
@@ -67,6 +67,7 @@
 /// Processes that find each other from seeds. Used by the roles gateway and supervisor.
 struct cluster_settings {
     std::string listen;                 ///< IP:port for other processes. Empty for a supervisor.
+    std::string bind;                   ///< IP:port to open; `listen` unless others reach it there.
     std::vector<std::string> seeds;     ///< IP:port of processes that may know others; never empty.
     std::uint16_t port = 0;             ///< Unless 0, takes the place of the port in each seed.
     bool founding = false;              ///< Part of a new deployment: may found the group.
--- a/src/libcluster/group_service.cpp
+++ b/src/libcluster/group_service.cpp
@@ -94,7 +94,7 @@
         this->client->learn(this->replica_addresses());
     }
     if (!this->settings.cluster.listen.empty()) {
-        const absl::StatusOr<wire::address> on = wire::parse_address(this->settings.cluster.listen);
+        const absl::StatusOr<wire::address> on = wire::parse_address(this->settings.cluster.bind);
         if (!on.ok()) {
             return on.status();
         }
--- a/src/libcluster/group_service_test.cpp
+++ b/src/libcluster/group_service_test.cpp
@@ -55,6 +55,7 @@
         settings.data_centre = "dc";
         settings.data_folder = this->folder / "data";
         settings.cluster.listen = free_address();
+        settings.cluster.bind = settings.cluster.listen;
         settings.cluster.seeds = {settings.cluster.listen};
         settings.cluster.founding = true;
         settings.cluster.tolerated_losses = 0;
--- a/src/libconfig/documents_test.cpp
+++ b/src/libconfig/documents_test.cpp
@@ -109,6 +109,7 @@
               {"connections", "1"}}},
             {"cluster",
              {{"listen", address},
+              {"bind", address},
               {"seeds", "[" + address + "]"},
               {"port", "1"},
               {"founding", "true"},
--- a/src/libconfig/settings.cpp
+++ b/src/libconfig/settings.cpp
@@ -172,6 +172,7 @@
     cluster_settings cluster;
     const field listen = roles.gateway ? map.required("listen") : map.optional("listen");
     cluster.listen = listen.address().value_or("");
+    cluster.bind = map.optional("bind").address().value_or(cluster.listen);
     const field seeds = map.required("seeds");
     const std::vector<field> items = seeds.list(max_replicas);
     if (seeds.present() && items.empty()) {
