Go on until the outcome of an unanswered call is known

Cause: a call that a leader took and did not answer was given up after 0.95 s with 504, which callers must not repeat, although the next leader knows the outcome a second later. Ruled out: refusing them with 503; the call may be in the log. Change: a call of which one try may have been carried out is tried until 2.5 s; one that reached no leader is still refused after 0.95 s. The line of a submission names its priority.

--- a/src/include/redwingwheel/job_gateway.h
+++ b/src/include/redwingwheel/job_gateway.h
@@ -29,6 +29,9 @@
     /// A call that finds no leader is refused after this long: most elections are over by then, and
     /// it is less than a third of the time that callers have.
     milliseconds call_patience{950};
+    /// A call that may have been carried out is tried again for this long: past a change of leader,
+    /// and within the 3 s that callers wait.
+    milliseconds settle_patience{2500};
     /// The gateway asks the leader for a sign of life this often.
     milliseconds probe_period{500};
     /// Without an answer of a leader for this long the gateway is not ready.
@@ -46,8 +49,8 @@
     /// Begins to probe the leader.
     void start();
 
-    /// Carries the call to the leader. `done` runs on the control thread, after `call_patience` at
-    /// the latest. Errors: gateway_errc.
+    /// Carries the call to the leader. `done` runs on the control thread, after
+    /// `settle_patience` at the latest. Errors: gateway_errc.
     void call(messages::job_call call, call_done done);
 
     /// True while the leader has answered lately; may be used from any thread.
--- a/src/include/redwingwheel/leader_client.h
+++ b/src/include/redwingwheel/leader_client.h
@@ -70,6 +70,11 @@
     /// by the identity it carries. Errors: leader_errc.
     void call(messages::kind kind, std::string body, steady_time deadline, leader_done done);
 
+    /// As `call`, but once a try may have been carried out, goes on until `settle_by` so that the
+    /// outcome is known.
+    void settle(messages::kind kind, std::string body, steady_time deadline, steady_time settle_by,
+                leader_done done);
+
 private:
     struct repeated_call;
 
--- a/src/libclient/leader_client.cpp
+++ b/src/libclient/leader_client.cpp
@@ -45,8 +45,14 @@
     messages::kind kind;
     std::string body;
     steady_time deadline;
+    steady_time settle_by;
     leader_done done;
     bool may_have_run = false;
+
+    [[nodiscard]] steady_time end() const
+    {
+        return this->may_have_run ? this->settle_by : this->deadline;
+    }
 };
 
 leader_client::leader_client(kernel::control_loop& control_loop, kernel::traffic_loop& traffic_loop,
@@ -215,15 +221,21 @@
 
 void leader_client::call(messages::kind kind, std::string body, steady_time deadline,
                          leader_done done)
+{
+    this->settle(kind, std::move(body), deadline, deadline, std::move(done));
+}
+
+void leader_client::settle(messages::kind kind, std::string body, steady_time deadline,
+                           steady_time settle_by, leader_done done)
 {
     this->repeat(std::make_shared<repeated_call>(
-        repeated_call{kind, std::move(body), deadline, std::move(done)}));
+        repeated_call{kind, std::move(body), deadline, settle_by, std::move(done)}));
 }
 
 void leader_client::repeat(const std::shared_ptr<repeated_call>& call)
 {
     const steady_time now = boot_clock::now();
-    const steady_time try_deadline = std::min(call->deadline, now + try_patience);
+    const steady_time try_deadline = std::min(call->end(), now + try_patience);
     this->call_once(
         call->kind, call->body, try_deadline, [this, call](absl::StatusOr<std::string> result) {
             if (result.ok() || error_code<leader_errc>(result.status()) == leader_errc::refused) {
@@ -233,7 +245,7 @@
             call->may_have_run |=
                 error_code<leader_errc>(result.status()) == leader_errc::unanswered;
             const steady_time next = boot_clock::now() + pause_between_tries;
-            if (next >= call->deadline) {
+            if (next >= call->end()) {
                 const leader_errc code =
                     call->may_have_run ? leader_errc::unanswered : leader_errc::no_leader;
                 call->done(translate_error(code, result.status()));
--- a/src/libgateway/job_gateway.cpp
+++ b/src/libgateway/job_gateway.cpp
@@ -57,8 +57,9 @@
 {
     const steady_time begun = boot_clock::now();
     this->loop.post([this, begun, call = std::move(call), done = std::move(done)] {
-        this->group.leader().call(
+        this->group.leader().settle(
             messages::kind::job_call, pack(call), begun + this->options.call_patience,
+            begun + this->options.settle_patience,
             [this, begun, done](const absl::StatusOr<std::string>& body) {
                 this->metrics.observe(
                     "leader_call_ms", "",
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -378,11 +378,12 @@
         return;
     }
     const step_definition& first = call.definition.steps.front();
+    const queue_definition& queue = *this->state.route(call.host, call.path);
     spdlog::info(
-        "event=job_submitted job={} queue={} account={} steps={} tasks={} cpu_millis={} "
-        "accelerators={} gang={} same_rack={} resumable={} estimate_ms={} occurrences={} "
-        "configuration={}",
-        call.job, this->state.route(call.host, call.path)->name,
+        "event=job_submitted job={} queue={} priority={} account={} steps={} tasks={} "
+        "cpu_millis={} accelerators={} gang={} same_rack={} resumable={} estimate_ms={} "
+        "occurrences={} configuration={}",
+        call.job, queue.name, queue.priority,
         this->state.account_of(call.key) == nullptr ? "" : this->state.account_of(call.key)->name,
         call.definition.steps.size(), first.tasks, first.each.cpu_millis, first.each.accelerators,
         first.gang, first.same_rack, first.resumable, first.estimate_ms,
