Stop gangs whole, and wait for runs that are about to end

Cause: a member of a gang that made no progress or sat on a draining worker was stopped alone, so the others only broke and listed older checkpoints. The time until a run ends was never computed, so room for a waiting gang was kept on arbitrary workers, and runs were evicted that would have ended as soon. Change: stalled and draining gangs are stopped as a whole. The time left comes from listed progress; a run that ends within 0.5 s counts as free and is not evicted. Both tests fail without it.

--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -60,6 +60,8 @@
     milliseconds rack_patience{1000};
     /// An ordinary gang that has waited this long has room kept for it.
     milliseconds gang_patience{1500};
+    /// A run that is expected to end within this is waited for: stopping it takes as long.
+    milliseconds natural_end{500};
     /// A reservation that has not been filled by then is decided anew.
     milliseconds reservation_life{1200};
 };
@@ -129,6 +131,9 @@
         steady_time since;
         steady_time last_progress;
         std::uint32_t percent = 0;
+        /// As it was first listed: a resumed run does not begin at 0.
+        steady_time first_listed;
+        std::uint32_t first_percent = 0;
         std::string checkpoint;
         bool listed = false;
     };
@@ -142,8 +147,9 @@
         std::vector<run_id> runs;
         std::vector<std::size_t> places;
         resources each;
-        double cost = 0.0;    ///< Core-seconds of work that would be lost.
-        double left_ms = 0.0; ///< Until the last of them is expected to end.
+        double cost = 0.0;      ///< Core-seconds of work that would be lost.
+        double left_ms = 0.0;   ///< Until the last of them is expected to end.
+        bool ends_soon = false; ///< Is waited for rather than stopped.
     };
     struct eviction_plan {
         std::vector<std::size_t> victims;
@@ -159,6 +165,9 @@
     void stop_stalled(round& now);
     void stop_broken_gangs(round& now);
     void leave_draining(round& now);
+    void evict(round& now, const run_id& run, const std::string& reason);
+    /// Predicted from the progress that the worker lists, or else from the job's estimate.
+    [[nodiscard]] double expected_left_ms(const round& now, const run_id& run) const;
     void picture_rooms(round& now) const;
     [[nodiscard]] std::vector<candidate> candidates(const round& now) const;
     [[nodiscard]] std::set<std::string> guaranteed_jobs() const;
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -83,6 +83,10 @@
         if (!run.listed && run.since == steady_time()) {
             run.since = now;
         }
+        if (!run.listed) {
+            run.first_listed = now;
+            run.first_percent = each.percent;
+        }
         run.listed = true;
         run.percent = each.percent;
         if (!each.checkpoint.empty()) {
@@ -226,8 +230,26 @@
         on.failures_in_row = std::max(on.failures_in_row, failures_before_suspicion);
         on.suspect_until = now.now + this->options.suspicion * 2;
         this->failed_on[run.task].insert(task->worker.id);
-        this->evicting.emplace(run, "no progress");
-        now.result.evictions.push_back({run, "no progress"});
+        this->evict(now, run, "no progress");
+    }
+}
+
+/// Stops a run. The members of a gang are stopped together: one that only breaks has nothing newer
+/// to resume from than its last periodic checkpoint.
+void scheduler::evict(round& now, const run_id& run, const std::string& reason)
+{
+    const job_record& job = *this->state.find(run.task.job);
+    const std::vector<task_record>& tasks =
+        job.open.at(run.task.occurrence).steps[run.task.step].tasks;
+    run_id each = run;
+    for (each.task.index = 0; each.task.index < tasks.size(); ++each.task.index) {
+        const bool stops =
+            each.task.index == run.task.index || job.definition.steps[run.task.step].gang;
+        const task_record& task = tasks[each.task.index];
+        if (stops && task.phase == task_phase::assigned && task.last_run == run.number &&
+            this->evicting.emplace(each, reason).second) {
+            now.result.evictions.push_back({each, reason});
+        }
     }
 }
 
@@ -250,31 +272,48 @@
 /// Moves runs that a draining worker would not finish: now, while there is time to checkpoint.
 void scheduler::leave_draining(round& now)
 {
-    constexpr double whole_percent = 100.0;
     for (const auto& [worker, known] : this->workers) {
         if (!known.description.draining || known.ended) {
             continue;
         }
         for (const run_id& run : this->state.runs_on(worker)) {
-            const auto progress = this->runs.find(run);
             const step_definition& step =
                 this->state.find(run.task.job)->definition.steps[run.task.step];
-            if (progress == this->runs.end() || step.lasting) {
+            if (!this->runs.contains(run) || step.lasting) {
                 continue;
             }
-            const std::chrono::duration<double, std::milli> elapsed =
-                now.now - progress->second.since;
-            const double percent = std::max<double>(progress->second.percent, 1.0);
-            const double left = elapsed.count() * (whole_percent - percent) / percent;
+            const double left = this->expected_left_ms(now, run);
             const double stays = static_cast<double>(known.description.remaining_ms +
                                                      this->options.drain_slack.count());
-            if (left > stays && this->evicting.emplace(run, "worker drains").second) {
-                now.result.evictions.push_back({run, "worker drains"});
+            if (left > stays) {
+                this->evict(now, run, "worker drains");
             }
         }
     }
 }
 
+double scheduler::expected_left_ms(const round& now, const run_id& run) const
+{
+    constexpr double whole_percent = 100.0;
+    /// Less progress than this says little about the pace.
+    constexpr std::uint32_t telling_percent = 4;
+    const double estimate = static_cast<double>(
+        this->state.find(run.task.job)->definition.steps[run.task.step].estimate_ms);
+    const auto found = this->runs.find(run);
+    if (found == this->runs.end()) {
+        return estimate;
+    }
+    const known_run& known = found->second;
+    const double open = whole_percent - known.percent;
+    if (!known.listed || known.percent < known.first_percent + telling_percent) {
+        return estimate * open / whole_percent;
+    }
+    const std::chrono::duration<double, std::milli> took = known.last_progress - known.first_listed;
+    const std::chrono::duration<double, std::milli> since = now.now - known.last_progress;
+    return std::max(0.0,
+                    open * took.count() / (known.percent - known.first_percent) - since.count());
+}
+
 void scheduler::picture_rooms(round& now) const
 {
     std::size_t suspects = 0;
--- a/src/libjobs/scheduler_eviction.cpp
+++ b/src/libjobs/scheduler_eviction.cpp
@@ -118,15 +118,17 @@
         for (const run_id& run : this->state.runs_on(now.ids[each])) {
             const job_record* const job = this->state.find(run.task.job);
             const step_definition& step = job->definition.steps[run.task.step];
-            if ((above.has_value() && job->priority <= *above) || step.lasting) {
+            if (step.lasting) {
                 continue;
             }
+            const bool leaving = this->evicting.contains(run) || job->ended();
+            const double left = leaving ? 0.0 : this->expected_left_ms(now, run);
+            const bool ends_soon = left <= static_cast<double>(this->options.natural_end.count());
             const std::uint32_t index = step.gang ? 0 : run.task.index;
             victim& unit = units[{run.task.job, run.task.occurrence, run.task.step, index}];
             unit.runs.push_back(run);
             unit.places.push_back(each);
             unit.each = step.each;
-            const bool leaving = this->evicting.contains(run) || job->ended();
             const auto known = this->runs.find(run);
             const double seconds =
                 known == this->runs.end()
@@ -134,10 +136,19 @@
                     : std::chrono::duration<double>(now.now - known->second.since).count();
             unit.cost +=
                 leaving ? 0.0 : weight_of(step.each) * (step.resumable ? resume_cost_s : seconds);
+            unit.left_ms = std::max(unit.left_ms, left);
+            unit.ends_soon = ends_soon && (unit.runs.size() == 1 || unit.ends_soon);
         }
     }
     std::vector<victim> found;
     for (auto& [key, unit] : units) {
+        const job_record& job = *this->state.find(unit.runs.front().task.job);
+        if (above.has_value() && job.priority <= *above && !unit.ends_soon) {
+            continue;
+        }
+        if (unit.ends_soon) {
+            unit.cost = 0.0;
+        }
         found.push_back(std::move(unit));
     }
     std::sort(found.begin(), found.end(), [](const victim& left, const victim& right) {
@@ -242,6 +253,9 @@
     }
     this->reservations[next.id()] = this->make_reservation(now, *best, request);
     for (const victim& unit : best->units) {
+        if (unit.ends_soon) {
+            continue;
+        }
         for (const run_id& run : unit.runs) {
             if (this->evicting.emplace(run, *next.job_id).second) {
                 now.result.evictions.push_back({run, *next.job_id});
--- a/src/libjobs/scheduler_test.cpp
+++ b/src/libjobs/scheduler_test.cpp
@@ -264,6 +264,49 @@
     CHECK(made.evictions[0].run.task.job == "long");
 }
 
+// Failure: only the member on the bad worker is stopped; the others break, and the gang resumes
+// from a checkpoint that is older than need be.
+TEST_CASE("a gang whose member makes no progress is stopped as a whole")
+{
+    world w;
+    w.add_worker("a", "r1");
+    w.add_worker("b", "r1");
+    w.submit("gang", "batch", 2, 8, true);
+    REQUIRE(w.decide().assignments.size() == 1);
+    const run_id first{{"gang", 0, 0, 0}, 1};
+    const run_id second{{"gang", 0, 0, 1}, 1};
+    const std::string stalled = w.state.find(first.task)->worker.id;
+    const std::string sound = w.state.find(second.task)->worker.id;
+    std::uint32_t percent = 0;
+    schedule made;
+    for (int step = 0; step < 30 && made.evictions.empty(); ++step) {
+        w.pass(milliseconds(100));
+        w.report(stalled, {{first, "", 5}});
+        w.report(sound, {{second, "", ++percent}});
+        made = w.decide();
+    }
+    CHECK(made.evictions.size() == 2);
+}
+
+// Failure: work is thrown away for room that would have been free as soon without it.
+TEST_CASE("a run that is about to end is waited for, another one is evicted")
+{
+    for (const std::uint32_t percent : {94U, 50U}) {
+        world w;
+        w.add_worker("a", "r1");
+        w.submit("borrower", "batch", 1, 8, false, false, "other");
+        w.decide();
+        const run_id borrower{{"borrower", 0, 0, 0}, 1};
+        w.report("a", {{borrower, "", 0}});
+        w.pass(milliseconds(50) * percent);
+        w.report("a", {{borrower, "", percent}});
+        w.submit("owner", "urgent", 1, 8);
+        const schedule made = w.decide();
+        CHECK(made.evictions.empty() == (percent == 94));
+        CHECK(w.decide().assignments.empty());
+    }
+}
+
 // Failure: small work that comes later takes the room of a large gang piece by piece, for ever.
 TEST_CASE("room is kept for a gang that has waited long")
 {
