Take a run for stalled only while its worker lists it

Cause: a worker that was cut off for 2.5 s listed nothing, so its runs counted as stalled and were stopped when it came back, and the worker was suspected. Ruled out: a longer limit; it would delay what it is for. Change: progress is missed only between listings. The test fails without it.

--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -47,7 +47,7 @@
     milliseconds grant_margin{300};
     /// A worker that failed work is avoided this long; doubles with each failure in a row.
     milliseconds suspicion{4000};
-    /// A run without progress for this long is moved. Workers count whole percents: the slowest
+    /// A run that is listed without progress for this long is moved. Workers count whole percents: the slowest
     /// sound run takes a third of a second for one.
     milliseconds stall_limit{2500};
     /// A run on a draining worker is moved when it is predicted to need this much longer than the
@@ -129,6 +129,7 @@
     };
     struct known_run {
         steady_time since;
+        steady_time last_listed;
         steady_time last_progress;
         std::uint32_t percent = 0;
         /// As it was first listed: a resumed run does not begin at 0.
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -88,6 +88,7 @@
             run.first_percent = each.percent;
         }
         run.listed = true;
+        run.last_listed = now;
         run.percent = each.percent;
         if (!each.checkpoint.empty()) {
             run.checkpoint = each.checkpoint;
@@ -215,7 +216,7 @@
     for (const auto& [run, progress] : this->runs) {
         if (!progress.listed || progress.percent >= finished_percent ||
             this->evicting.contains(run) ||
-            now.now < progress.last_progress + this->options.stall_limit) {
+            progress.last_listed < progress.last_progress + this->options.stall_limit) {
             continue;
         }
         const job_record* const job = this->state.find(run.task.job);
--- a/src/libjobs/scheduler_test.cpp
+++ b/src/libjobs/scheduler_test.cpp
@@ -264,6 +264,21 @@
     CHECK(made.evictions[0].run.task.job == "long");
 }
 
+// Failure: a worker that is cut off for a moment loses runs that went on meanwhile.
+TEST_CASE("a run on a worker that is not heard of is not taken for stalled")
+{
+    world w;
+    w.add_worker("a", "r1");
+    w.submit("job", "batch", 1, 8);
+    w.decide();
+    const run_id run{{"job", 0, 0, 0}, 1};
+    w.report("a", {{run, "", 5}});
+    w.pass(milliseconds(4000));
+    CHECK(w.decide().evictions.empty());
+    w.report("a", {{run, "", 60}});
+    CHECK(w.decide().evictions.empty());
+}
+
 // Failure: only the member on the bad worker is stopped; the others break, and the gang resumes
 // from a checkpoint that is older than need be.
 TEST_CASE("a gang whose member makes no progress is stopped as a whole")
