--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -47,8 +47,8 @@
     milliseconds grant_margin{300};
     /// A worker that failed work is avoided this long; doubles with each failure in a row.
     milliseconds suspicion{4000};
-    /// A run that is listed without progress for this long is moved. Workers count whole percents: the slowest
-    /// sound run takes a third of a second for one.
+    /// A run that is listed without progress for this long is moved. Workers count whole percents:
+    /// the slowest sound run takes a third of a second for one.
     milliseconds stall_limit{2500};
     /// A run on a draining worker is moved when it is predicted to need this much longer than the
     /// worker stays.
