--- a/src/libconfig/documents_test.cpp
+++ b/src/libconfig/documents_test.cpp
@@ -204,6 +204,7 @@
         {"log.level", config::log_settings().level},
         {"log.file", "empty"},
         {"metrics.listen", "empty"},
+        {"cluster.bind", "listen"},
         {"cluster.port", fmt::format("{}", config::cluster_settings().port)},
         {"cluster.founding", "false"},
         {"cluster.tolerated_losses",
