Block stop signals before the log's thread starts

The log's thread was started before the signals were blocked, so a SIGTERM that came while the main thread drained or read its settings went to that thread and ended the process at once, its work cut. Ruled out: a slow drain; the process was ended by the signal. Change: the signals are blocked first. planned_stops sends SIGTERM again and again to a draining agent.

--- a/src/redwingwheeld/main.cpp
+++ b/src/redwingwheeld/main.cpp
@@ -129,9 +129,8 @@
 }
 
 int run(const redwingwheel::config::settings& settings, const std::string& secret,
-        const std::string& file_name, std::string text)
+        const std::string& file_name, std::string text, const sigset_t& signals)
 {
-    const sigset_t signals = block_stop_signals();
     redwingwheel::daemon::process process(settings, secret);
     const absl::Status started = process.start();
     if (!started.ok()) {
@@ -194,6 +193,9 @@
                   << ": allowed a readable file that is not empty\n";
         return exit_bad_input;
     }
+    // Before the first thread starts, the log's: one that does not block a signal would let it end
+    // the process while the main thread is not waiting for it.
+    const sigset_t signals = block_stop_signals();
     set_up_log(*settings);
-    return run(*settings, trimmed(*secret), given.config_file, *text);
+    return run(*settings, trimmed(*secret), given.config_file, *text, signals);
 }
--- a/testsuite/planned_stops/run.sh
+++ b/testsuite/planned_stops/run.sh
@@ -89,4 +89,15 @@
 for n in 1 2; do wait "${racers[$n]}" && won=$((won + 1)); done
 check "one of two racing notes is accepted" [ "$won" -eq 1 ]
 check "the other is told the field" grep -q "feria-maipo/weight" "$suite_out/race-1" "$suite_out/race-2"
+# A signal that comes while the process drains must not end it: the one that is waited for is not blocked elsewhere.
+repeated_stop() {
+    local id=${process_ids[${worker_names[0]}]}
+    for _ in 1 2 3 4 5; do
+        kill -TERM "$id" 2> /dev/null
+        sleep 0.02
+    done
+    stop_process "${worker_names[0]}"
+}
+check "a process that is told to stop again and again drains and ends well" repeated_stop
+
 suite_end
