End the process's threads before the log is shut down

Cause: spdlog::shutdown() ran while the control and the traffic thread still worked; the first line that one of them logged after it used a logger that was gone. The core file shows the control thread in take_permit (event=revision_in_force) and the main thread in spdlog's shutdown. Ruled out: the repeated signal itself; one SIGTERM right after a new revision does it too. Change: the log is shut down after the process object, and with it each thread, has ended; also after a failed start.

--- a/src/redwingwheeld/main.cpp
+++ b/src/redwingwheeld/main.cpp
@@ -128,6 +128,7 @@
     process.reload(*settings);
 }
 
+/// Runs the process until a stop signal and ends all its threads. Returns the exit status.
 int run(const redwingwheel::config::settings& settings, const std::string& secret,
         const std::string& file_name, std::string text, const sigset_t& signals)
 {
@@ -149,7 +150,6 @@
     spdlog::info("event=stopping signal={}", received);
     process.drain_and_stop();
     spdlog::info("event=stopped");
-    spdlog::shutdown();
     return exit_done;
 }
 
@@ -197,5 +197,8 @@
     // the process while the main thread is not waiting for it.
     const sigset_t signals = block_stop_signals();
     set_up_log(*settings);
-    return run(*settings, trimmed(*secret), given.config_file, *text, signals);
+    const int status = run(*settings, trimmed(*secret), given.config_file, *text, signals);
+    // Only now: a thread of the process that logs after this would use a logger that is gone.
+    spdlog::shutdown();
+    return status;
 }
