Settle a draining worker that vanishes, and place nothing on one that cannot be reached

Cause: a worker that is taken away at short notice does not always say that it leaves. Starts over refused connections waited for their deadline although nothing had been sent, and work went to workers that their supervisors could not reach. Ruled out: shorter grants (tried before, work lapses when supervisors freeze). Change: a draining worker whose announced time is over and whose host refuses connections twice in a row has ended; the time it has left runs down between announcements; supervisors say whether their worker answers, and a worker that does not gets nothing new; after a failure the next renewal does not wait; a start without a connection is refused at once. HTTP errors tell a refused connection from a missing one.

--- a/src/include/redwingwheel/http_client.h
+++ b/src/include/redwingwheel/http_client.h
@@ -44,7 +44,8 @@
     client& operator=(const client&) = delete;
 
     /// Sends a request; `done` is called once, on the client's thread.
-    /// Errors: not_connected, lost_after_send, incomplete_answer, answer_too_large.
+    /// Errors: not_connected, connection_refused, lost_after_send, incomplete_answer,
+    /// answer_too_large.
     /// Returns a number that `cancel` takes.
     std::uint64_t send(client_request request, response_function done);
 
--- a/src/include/redwingwheel/http_server.h
+++ b/src/include/redwingwheel/http_server.h
@@ -17,6 +17,8 @@
     listen_failed = 1,
     /// No connection to the server was made; the request was not sent.
     not_connected,
+    /// The server's host refused the connection: no process listens there. Nothing was sent.
+    connection_refused,
     /// The connection ended or timed out after the request had begun to leave.
     lost_after_send,
     /// The answer's body is shorter than announced, or its end did not arrive.
@@ -32,6 +34,9 @@
 [[nodiscard]] std::string_view error_name(http_errc code);
 [[nodiscard]] absl::StatusCode error_category(http_errc code);
 
+/// True when the status says that no byte of the request left.
+[[nodiscard]] bool was_not_sent(const absl::Status& status);
+
 /// Header names are in lower case.
 using header_map = std::map<std::string, std::string, std::less<>>;
 
--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -24,10 +24,11 @@
     resources capacity;
     bool draining = false;
     std::int64_t remaining_ms = 0; ///< While draining: how much longer it works at least.
+    bool reachable = true;         ///< It answered its supervisor's last renewal.
 
     friend bool operator==(const worker_description&, const worker_description&) = default;
     MSGPACK_DEFINE(incarnation, service, data_centre, rack, labels, capacity, draining,
-                   remaining_ms)
+                   remaining_ms, reachable)
 };
 
 /// A run that a worker lists as running.
--- a/src/include/redwingwheel/supervisor.h
+++ b/src/include/redwingwheel/supervisor.h
@@ -74,6 +74,8 @@
 
     void begin_incarnation(const worker_incarnation& incarnation);
     void renew();
+    void set_reachable(bool reachable);
+    void on_renewal_failed(const absl::Status& status);
     void on_listing(const worker_listing& listing);
     void stop_unwanted();
     void send_stop(const run_id& run);
@@ -117,6 +119,10 @@
     bool renewing = false;
     steady_time renewal_sent_at;
     std::uint64_t renewal = 0;
+    /// In a row, because nobody listened at the worker's address.
+    std::size_t refused_renewals = 0;
+    /// A draining worker works at least until then.
+    steady_time drained_at;
     std::uint64_t poll_sequence = 0;
     std::uint64_t answered_poll = 0;
     std::size_t polls_in_flight = 0;
--- a/src/include/redwingwheel/worker_port.h
+++ b/src/include/redwingwheel/worker_port.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "redwingwheel/clock.h"
+#include "redwingwheel/errors.h"
 #include "redwingwheel/job_model.h"
 #include "redwingwheel/scheduler.h"
 
@@ -31,6 +32,7 @@
     outdated,    ///< A run that is not lower has been stopped or has ended there.
     fenced,      ///< A leader of a later term has given orders.
     not_healthy, ///< The worker refuses work; nothing was done.
+    not_sent,    ///< There was no connection to the worker; nothing was done.
     other_incarnation,
     invalid,  ///< The worker cannot read the order; nothing was done.
     no_answer ///< May be carried out, now or seconds later.
@@ -38,6 +40,17 @@
 
 [[nodiscard]] std::string_view start_result_name(start_result result);
 
+/// What went wrong on the way to the worker.
+enum class worker_errc {
+    not_listening = 1, ///< The worker's host refused the connection: no process listens there.
+    no_answer,
+    refused, ///< The answer is not a listing of the worker.
+};
+
+[[nodiscard]] constexpr std::string_view error_layer(worker_errc) { return "worker"; }
+[[nodiscard]] std::string_view error_name(worker_errc code);
+[[nodiscard]] absl::StatusCode error_category(worker_errc code);
+
 struct stop_request {
     worker_incarnation worker;
     run_id run;
@@ -74,7 +87,7 @@
     /// `done` gets true when the worker has acknowledged the stop.
     virtual void stop_run(const stop_request& order, std::function<void(bool)> done) = 0;
     /// Extends the lease and lists what runs and what has ended.
-    /// Errors: any status when there was no readable answer.
+    /// Errors: worker_errc.
     virtual void renew(const renew_request& order,
                        std::function<void(absl::StatusOr<worker_listing>)> done) = 0;
 };
--- a/src/libagent/request_runner.cpp
+++ b/src/libagent/request_runner.cpp
@@ -145,7 +145,7 @@
     const std::string detail = errors::message_of(response.status());
     const std::optional<http::http_errc> code = error_code<http::http_errc>(response.status());
     request::outcome_kind outcome = request::outcome_kind::unknown;
-    if (code == http::http_errc::not_connected) {
+    if (http::was_not_sent(response.status())) {
         outcome = request::outcome_kind::not_run;
     }
     else if (code == http::http_errc::incomplete_answer ||
--- a/src/libagent/task_runner.cpp
+++ b/src/libagent/task_runner.cpp
@@ -135,8 +135,7 @@
         this->end(task, membership::task_outcome::failed);
         return;
     }
-    const bool unsent =
-        error_code<http::http_errc>(reply.status()) == http::http_errc::not_connected;
+    const bool unsent = http::was_not_sent(reply.status());
     this->end(task, unsent ? membership::task_outcome::not_run : membership::task_outcome::unknown);
 }
 
@@ -204,7 +203,7 @@
     found->second.asking = false;
     if (!reply.ok()) {
         // Without a listener at the address the backend server is gone, and its tasks with it.
-        if (error_code<http::http_errc>(reply.status()) == http::http_errc::not_connected) {
+        if (http::was_not_sent(reply.status())) {
             this->end(task, membership::task_outcome::unknown);
         }
         return;
--- a/src/libhttp/http_client.cpp
+++ b/src/libhttp/http_client.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cctype>
+#include <cerrno>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -94,6 +95,11 @@
     curl_off_t pretransfer_us = 0;
     curl_easy_getinfo(of.handle, CURLINFO_PRETRANSFER_TIME_T, &pretransfer_us);
     const bool connected = pretransfer_us > 0;
+    long system_error = 0;
+    curl_easy_getinfo(of.handle, CURLINFO_OS_ERRNO, &system_error);
+    if (code == CURLE_COULDNT_CONNECT && system_error == ECONNREFUSED) {
+        return make_error(http_errc::connection_refused, curl_easy_strerror(code));
+    }
     if (code == CURLE_COULDNT_CONNECT || !connected) {
         return make_error(http_errc::not_connected, curl_easy_strerror(code));
     }
--- a/src/libhttp/http_errors.cpp
+++ b/src/libhttp/http_errors.cpp
@@ -9,6 +9,8 @@
         return "listen failed";
     case http_errc::not_connected:
         return "not connected";
+    case http_errc::connection_refused:
+        return "connection refused";
     case http_errc::lost_after_send:
         return "connection lost after send";
     case http_errc::incomplete_answer:
@@ -24,6 +26,7 @@
     switch (code) {
     case http_errc::listen_failed:
     case http_errc::not_connected:
+    case http_errc::connection_refused:
         return absl::StatusCode::kUnavailable;
     case http_errc::lost_after_send:
         return absl::StatusCode::kUnknown;
@@ -35,4 +38,10 @@
     return absl::StatusCode::kUnknown;
 }
 
+bool was_not_sent(const absl::Status& status)
+{
+    const std::optional<http_errc> code = error_code<http_errc>(status);
+    return code == http_errc::not_connected || code == http_errc::connection_refused;
+}
+
 } // namespace redwingwheel::http
--- a/src/libhttp/http_test.cpp
+++ b/src/libhttp/http_test.cpp
@@ -290,7 +290,7 @@
 {
     http::client client({});
     REQUIRE(failure(get(client, free_address(), "/", milliseconds(3000))) ==
-            http::http_errc::not_connected);
+            http::http_errc::connection_refused);
     raw_server closing("");
     REQUIRE(failure(get(client, closing.address(), "/", milliseconds(3000))) ==
             http::http_errc::lost_after_send);
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -436,6 +436,7 @@
                                                      step.required_label) != worker.labels.end();
         const bool suspected = known.suspect_until > now.now;
         room.eligible = worker.service == next.job->service && labelled && !worker.draining &&
+                        worker.reachable &&
                         known.refused_until <= now.now &&
                         !this->state.evacuated().contains(worker.data_centre) &&
                         !(suspected && now.avoid_suspects);
--- a/src/libjobs/scheduler_test.cpp
+++ b/src/libjobs/scheduler_test.cpp
@@ -264,6 +264,20 @@
     CHECK(made.evictions[0].run.task.job == "long");
 }
 
+// Failure: a start is sent to a worker that its supervisor cannot reach, and the task waits.
+TEST_CASE("nothing is placed on a worker that its supervisor cannot reach")
+{
+    world w;
+    w.add_worker("a", "r1");
+    w.workers["a"].reachable = false;
+    w.report("a");
+    w.submit("job", "batch", 1, 1);
+    CHECK(w.decide().assignments.empty());
+    w.workers["a"].reachable = true;
+    w.report("a");
+    CHECK(w.decide().assignments.size() == 1);
+}
+
 // Failure: a worker that is cut off for a moment loses runs that went on meanwhile.
 TEST_CASE("a run on a worker that is not heard of is not taken for stalled")
 {
--- a/src/libsupervisor/supervisor.cpp
+++ b/src/libsupervisor/supervisor.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t most_polls_in_flight = 2;
 /// Ended incarnations named in polls; older ones have been seen by the leader or have lapsed.
 constexpr std::size_t ended_kept = 8;
+/// Refused connections in a row until a draining worker whose time is over is taken for ended.
+constexpr std::size_t refusals_until_ended = 2;
 
 bool is_listed(const worker_listing& listing, const run_id& run)
 {
@@ -46,6 +48,8 @@
         return "fenced";
     case start_result::not_healthy:
         return "not_healthy";
+    case start_result::not_sent:
+        return "not_sent";
     case start_result::other_incarnation:
         return "other_incarnation";
     case start_result::invalid:
@@ -56,6 +60,32 @@
     return "unknown";
 }
 
+std::string_view error_name(worker_errc code)
+{
+    switch (code) {
+    case worker_errc::not_listening:
+        return "not listening";
+    case worker_errc::no_answer:
+        return "no answer";
+    case worker_errc::refused:
+        return "refused";
+    }
+    return "unknown";
+}
+
+absl::StatusCode error_category(worker_errc code)
+{
+    switch (code) {
+    case worker_errc::not_listening:
+        return absl::StatusCode::kUnavailable;
+    case worker_errc::no_answer:
+        return absl::StatusCode::kUnknown;
+    case worker_errc::refused:
+        return absl::StatusCode::kFailedPrecondition;
+    }
+    return absl::StatusCode::kUnknown;
+}
+
 supervisor::supervisor(const supervisor_options& chosen, clock_function now, worker_port& to_worker,
                        supervisor_hooks callbacks)
     : options(chosen), clock(std::move(now)), port(to_worker), hooks(std::move(callbacks))
@@ -93,6 +123,8 @@
     if (is_new) {
         this->begin_incarnation(announced.incarnation);
     }
+    announced.reachable = is_new || this->worker->reachable;
+    this->drained_at = this->clock() + milliseconds(announced.remaining_ms);
     const bool changed = is_new || *this->worker != announced;
     this->worker = announced;
     this->last_sequence = sequence;
@@ -136,6 +168,7 @@
     this->orders_digest = 0;
     this->last_sequence = 0;
     this->renewing = false;
+    this->refused_renewals = 0;
     ++this->renewal;
 }
 
@@ -175,7 +208,9 @@
     order.worker = this->worker->incarnation;
     order.fence = this->term;
     order.recorded_ends = this->recorded_ends;
-    order.wait = this->worker_clock.has_value() ? this->options.renewal_wait : milliseconds(0);
+    // An answer at once tells that the worker can be reached again.
+    const bool may_wait = this->worker_clock.has_value() && this->worker->reachable;
+    order.wait = may_wait ? this->options.renewal_wait : milliseconds(0);
     const std::optional<worker_time_ms> limit = this->lease_limit();
     if (limit.has_value()) {
         order.lease_until =
@@ -190,6 +225,8 @@
         if (listing.ok() && this->worker.has_value() &&
             listing->worker.id == this->worker->incarnation.id &&
             listing->worker.born_unix_ms == this->worker->incarnation.born_unix_ms) {
+            this->refused_renewals = 0;
+            this->set_reachable(true);
             this->on_listing(*listing);
             this->renew();
             return;
@@ -197,6 +234,7 @@
         spdlog::warn("event=worker_renewal_failed worker={} error=\"{}\"",
                      this->worker.has_value() ? this->worker->incarnation.id : "",
                      listing.ok() ? "other incarnation" : std::string(listing.status().message()));
+        this->on_renewal_failed(listing.status());
         this->hooks.run_at(this->clock() + this->options.pause_after_failure, [this, number] {
             if (number == this->renewal) {
                 this->renew();
@@ -205,6 +243,33 @@
     });
 }
 
+void supervisor::set_reachable(bool reachable)
+{
+    if (this->worker->reachable != reachable) {
+        this->worker->reachable = reachable;
+        spdlog::info("event={} worker={} born={}",
+                     reachable ? "worker_regained" : "worker_unreachable",
+                     this->worker->incarnation.id, this->worker->incarnation.born_unix_ms);
+        this->poll_now();
+    }
+}
+
+void supervisor::on_renewal_failed(const absl::Status& status)
+{
+    if (!this->worker.has_value()) {
+        return;
+    }
+    this->set_reachable(false);
+    const bool refused = error_code<worker_errc>(status) == worker_errc::not_listening;
+    this->refused_renewals = refused ? this->refused_renewals + 1 : 0;
+    // It works at least as long as it announced and listens while it does; not every worker says
+    // that it leaves.
+    if (this->worker->draining && this->clock() >= this->drained_at &&
+        this->refused_renewals >= refusals_until_ended) {
+        this->worker_left(this->worker->incarnation.id);
+    }
+}
+
 void supervisor::on_listing(const worker_listing& listing)
 {
     if (!this->worker_clock.has_value()) {
@@ -420,6 +485,7 @@
     poll.sequence = ++this->poll_sequence;
     if (this->worker.has_value()) {
         poll.worker = *this->worker;
+        poll.worker.remaining_ms = remaining_until(this->drained_at, this->clock()).count();
         poll.running = this->running;
     }
     for (const auto& [number, end] : this->ends) {
--- a/src/libsupervisor/supervisor_test.cpp
+++ b/src/libsupervisor/supervisor_test.cpp
@@ -86,12 +86,13 @@
         }
     }
 
-    void announce(bool draining = false)
+    void announce(bool draining = false, std::int64_t remaining_ms = 0)
     {
         worker_description worker;
         worker.incarnation = {"w", this->born, ""};
         worker.service = "inspector";
         worker.draining = draining;
+        worker.remaining_ms = remaining_ms;
         this->tested->announce(worker, ++this->sequence);
         this->pass(milliseconds(0));
     }
@@ -122,6 +123,16 @@
         this->pass(milliseconds(0));
     }
 
+    /// The worker's last renewal fails.
+    void fail_renewal(worker_errc code)
+    {
+        REQUIRE_FALSE(this->port.renewals.empty());
+        const fake_port::pending_renewal renewal = this->port.renewals.back();
+        this->port.renewals.clear();
+        renewal.done(make_error(code, "failed by the test"));
+        this->pass(milliseconds(200));
+    }
+
     /// The leader answers the last poll.
     void order(std::vector<run_id> wanted, std::vector<run_id> starts,
                std::vector<run_id> withdrawn = {}, std::uint64_t term = 3)
@@ -342,6 +353,89 @@
     CHECK(w.refused().size() == 1);
 }
 
+// Failure: the runs of a worker that ended without a word wait for its lease, twice as long as most
+// urgent runs take.
+TEST_CASE("a draining worker whose address refuses connections after its time has ended")
+{
+    world w;
+    w.settle();
+    w.announce(true, 2000);
+    w.pass(milliseconds(2000));
+    w.fail_renewal(worker_errc::not_listening);
+    w.fail_renewal(worker_errc::not_listening);
+    w.replace_polls();
+    REQUIRE_FALSE(w.polls.empty());
+    CHECK(w.polls.back().poll.worker.incarnation.id.empty());
+    REQUIRE(w.polls.back().poll.ended.size() == 1);
+    CHECK(w.polls.back().poll.ended.front().worker.id == "w");
+}
+
+// Failure: a worker that only refuses connections for a moment, resets them or hangs is taken for
+// ended, and its tasks run twice.
+TEST_CASE("a worker is not taken for ended before its time, nor when connections break")
+{
+    world w;
+    w.settle();
+    const auto is_there = [&w] {
+        w.replace_polls();
+        return w.polls.back().poll.ended.empty();
+    };
+    w.fail_renewal(worker_errc::not_listening);
+    w.fail_renewal(worker_errc::not_listening);
+    w.fail_renewal(worker_errc::not_listening);
+    CHECK(is_there());
+    w.announce(true, 2000);
+    w.fail_renewal(worker_errc::not_listening);
+    w.fail_renewal(worker_errc::not_listening);
+    CHECK(is_there());
+    w.pass(milliseconds(2000));
+    w.fail_renewal(worker_errc::no_answer);
+    w.fail_renewal(worker_errc::not_listening);
+    w.fail_renewal(worker_errc::no_answer);
+    CHECK(is_there());
+}
+
+// Failure: the leader counts with the time that a draining worker had seconds ago.
+TEST_CASE("the time that a draining worker has left runs down between its announcements")
+{
+    world w;
+    w.settle();
+    w.announce(true, 2000);
+    w.pass(milliseconds(1500));
+    w.list({}, {{1, run_one, run_end::done, ""}});
+    w.replace_polls();
+    REQUIRE_FALSE(w.polls.empty());
+    CHECK(w.polls.back().poll.worker.remaining_ms == 500);
+}
+
+// Failure: a start that was never sent keeps its task waiting until the order's deadline.
+TEST_CASE("a start without a connection is refused at once")
+{
+    world w;
+    w.settle();
+    w.order({run_one}, {run_one});
+    REQUIRE(w.port.starts.size() == 1);
+    w.port.starts.front().done(start_result::not_sent);
+    w.pass(milliseconds(0));
+    REQUIRE(w.refused().size() == 1);
+    CHECK(w.refused().front().reason == "not_sent");
+}
+
+// Failure: work is given to a worker that its supervisor cannot reach.
+TEST_CASE("the leader is told at once when the worker cannot be reached, and when it can again")
+{
+    world w;
+    w.settle();
+    CHECK(w.polls.back().poll.worker.reachable);
+    w.fail_renewal(worker_errc::no_answer);
+    w.replace_polls();
+    CHECK_FALSE(w.polls.back().poll.worker.reachable);
+    CHECK(w.port.renewals.back().order.wait == milliseconds(0));
+    w.list();
+    w.replace_polls();
+    CHECK(w.polls.back().poll.worker.reachable);
+}
+
 // Failure: a delayed announcement of an incarnation that is over takes the place of the new one.
 TEST_CASE("announcements of earlier incarnations are ignored")
 {
--- a/src/redwingwheel-load/results.cpp
+++ b/src/redwingwheel-load/results.cpp
@@ -37,11 +37,8 @@
 request_result classify(const absl::StatusOr<http::client_response>& answer)
 {
     if (!answer.ok()) {
-        constexpr http::http_errc nothing_sent = http::http_errc::not_connected;
-        const std::optional<int> code =
-            errors::read_code(answer.status(), error_layer(nothing_sent));
-        return code == static_cast<int>(nothing_sent) ? request_result::not_connected
-                                                      : request_result::lost;
+        return http::was_not_sent(answer.status()) ? request_result::not_connected
+                                                   : request_result::lost;
     }
     const std::string text = outcome_text(*answer);
     if (text == "done") {
