Log why an urgent step waits

Cause: nothing told why an urgent job that was late had waited for room. Change: the leader writes event=step_waits once for each urgent step and reason, with what eviction would cost and may cost.

--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -74,12 +74,33 @@
     MSGPACK_DEFINE(run, in_favour_of)
 };
 
+/// Why a step with tasks that wait was not placed as a whole.
+enum class wait_reason : std::uint8_t {
+    no_room,           ///< Nothing that may be evicted would make room.
+    eviction_too_dear, ///< The work that would be lost is worth more than the step's own.
+    room_is_freed,     ///< Room is held for it and is being freed.
+};
+
+[[nodiscard]] std::string_view wait_reason_name(wait_reason reason);
+
+/// A step that waits, for the log.
+struct waiting_step {
+    task_id step;
+    wait_reason reason = wait_reason::no_room;
+    std::size_t tasks = 0;
+    bool guaranteed = false;
+    double eviction_cost = 0.0;  ///< Core-seconds of work that would be lost.
+    double eviction_limit = 0.0; ///< Core-seconds that may be lost for it.
+};
+
 /// What the leader is to do after a round of decisions.
 struct schedule {
     /// One command for each gang; proposed in this order.
     std::vector<assign_runs> assignments;
     std::vector<released_run> releases;
     std::vector<eviction> evictions;
+    /// Urgent steps that are not placed as a whole.
+    std::vector<waiting_step> waiting;
 };
 
 struct placement_request;
@@ -176,7 +197,9 @@
     void mark_eligible(round& now, const candidate& next) const;
     void place(round& now, const candidate& next);
     void assign(round& now, const candidate& next, const std::vector<std::size_t>& places);
-    void hold_reservation(round& now, const candidate& next, const placement_request& request);
+    /// Returns why the step waits.
+    waiting_step hold_reservation(round& now, const candidate& next,
+                                  const placement_request& request);
     void keep_room(round& now, const candidate& next, const placement_request& request);
     [[nodiscard]] reservation make_reservation(round& now, const eviction_plan& plan,
                                                const placement_request& request) const;
@@ -186,7 +209,9 @@
     [[nodiscard]] static std::optional<eviction_plan>
     plan_eviction(const round& now, const placement_request& request,
                   const std::vector<victim>& possible);
-    void reserve_by_eviction(round& now, const candidate& next, const placement_request& request);
+    /// Returns why the step waits.
+    waiting_step reserve_by_eviction(round& now, const candidate& next,
+                                     const placement_request& request);
 
     scheduler_options options;
     clock_function clock;
--- a/src/include/redwingwheel/scheduler_service.h
+++ b/src/include/redwingwheel/scheduler_service.h
@@ -53,6 +53,7 @@
 
     void tick();
     void decide();
+    void log_waiting(const std::vector<waiting_step>& waiting);
     void advance_time();
 
     cluster::group_service& group;
@@ -73,6 +74,8 @@
     steady_time next_full_round;
     steady_time next_time_check;
     steady_time next_clean_up;
+    /// Steps that waited in the last round, and why.
+    std::map<task_id, wait_reason> logged_waits;
 };
 
 } // namespace redwingwheel::jobs
--- a/src/libjobs/scheduler_eviction.cpp
+++ b/src/libjobs/scheduler_eviction.cpp
@@ -47,7 +47,10 @@
         return;
     }
     if (next.rank != urgency::ordinary) {
-        this->hold_reservation(now, next, request);
+        waiting_step waits = this->hold_reservation(now, next, request);
+        waits.tasks = next.waiting.size() - places.size();
+        waits.guaranteed = next.rank == urgency::guaranteed;
+        now.result.waiting.push_back(std::move(waits));
     }
     else if (request.step->gang && !now.gang_is_waiting && next.lateness < hopeless &&
              waited >= this->options.gang_patience) {
@@ -91,8 +94,8 @@
 }
 
 /// Keeps what is being freed for the step out of the reach of those that come later in the round.
-void scheduler::hold_reservation(round& now, const candidate& next,
-                                 const placement_request& request)
+waiting_step scheduler::hold_reservation(round& now, const candidate& next,
+                                         const placement_request& request)
 {
     const auto held = this->reservations.find(next.id());
     if (held != this->reservations.end() &&
@@ -104,10 +107,10 @@
                     held->second.each;
             }
         }
-        return;
+        return {next.id(), wait_reason::room_is_freed};
     }
     this->reservations.erase(next.id());
-    this->reserve_by_eviction(now, next, request);
+    return this->reserve_by_eviction(now, next, request);
 }
 
 std::vector<scheduler::victim> scheduler::victims(const round& now,
@@ -209,8 +212,8 @@
     return plan;
 }
 
-void scheduler::reserve_by_eviction(round& now, const candidate& next,
-                                    const placement_request& request)
+waiting_step scheduler::reserve_by_eviction(round& now, const candidate& next,
+                                            const placement_request& request)
 {
     const std::vector<victim> possible = this->victims(now, 0);
     std::optional<eviction_plan> best;
@@ -247,9 +250,12 @@
     constexpr double ms_per_s = 1000.0;
     const double own_work = weight_of(each) * static_cast<double>(request.tasks) *
                             static_cast<double>(request.step->estimate_ms) / ms_per_s;
-    if (!best.has_value() || (next.rank != urgency::guaranteed &&
-                              best->cost > own_work * this->options.urgent_eviction_share)) {
-        return;
+    if (!best.has_value()) {
+        return {next.id(), wait_reason::no_room};
+    }
+    const double limit = own_work * this->options.urgent_eviction_share;
+    if (next.rank != urgency::guaranteed && best->cost > limit) {
+        return {next.id(), wait_reason::eviction_too_dear, 0, false, best->cost, limit};
     }
     this->reservations[next.id()] = this->make_reservation(now, *best, request);
     for (const victim& unit : best->units) {
@@ -262,6 +268,20 @@
             }
         }
     }
+    return {next.id(), wait_reason::room_is_freed, 0, false, best->cost, limit};
+}
+
+std::string_view wait_reason_name(wait_reason reason)
+{
+    switch (reason) {
+    case wait_reason::no_room:
+        return "no_room";
+    case wait_reason::eviction_too_dear:
+        return "eviction_too_dear";
+    case wait_reason::room_is_freed:
+        return "room_is_freed";
+    }
+    return "unknown";
 }
 
 } // namespace redwingwheel::jobs
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -493,6 +493,24 @@
     }
 }
 
+/// One line for each urgent step and each reason that it waits for.
+void scheduler_service::log_waiting(const std::vector<waiting_step>& waiting)
+{
+    std::map<task_id, wait_reason> now_waiting;
+    for (const waiting_step& each : waiting) {
+        now_waiting[each.step] = each.reason;
+        const auto known = this->logged_waits.find(each.step);
+        if (known == this->logged_waits.end() || known->second != each.reason) {
+            spdlog::info("event=step_waits job={} step={}.{}.{} reason={} tasks={} guaranteed={} "
+                         "eviction_cost_core_s={:.0f} eviction_limit_core_s={:.0f}",
+                         each.step.job, each.step.job, each.step.occurrence, each.step.step,
+                         wait_reason_name(each.reason), each.tasks, each.guaranteed,
+                         each.eviction_cost, each.eviction_limit);
+        }
+    }
+    this->logged_waits = std::move(now_waiting);
+}
+
 void scheduler_service::decide()
 {
     const schedule made = this->decisions.decide(unix_ms());
@@ -501,6 +519,7 @@
         spdlog::info("event=run_evicted job={} task={} run={} reason=\"{}\"", each.run.task.job,
                      text_of(each.run.task), each.run.number, each.in_favour_of);
     }
+    this->log_waiting(made.waiting);
     const auto settled = [this](const absl::StatusOr<job_verdict>& verdict) {
         if (!verdict.ok()) {
             spdlog::warn("event=decision_not_committed error=\"{}\"",
