Wait for a run only on measured progress

Cause: a run whose estimate was short counted as about to end from its first moment, at no cost, so urgent jobs waited for it instead of evicting it; estimates of these users are up to ten times too short. A run that should have ended already, or hangs, counted as about to end for good. Change: only a run with measured progress, within half a second of its predicted end either way, is waited for.

--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -189,8 +189,12 @@
     void stop_broken_gangs(round& now);
     void leave_draining(round& now);
     void evict(round& now, const run_id& run, const std::string& reason);
-    /// Predicted from the progress that the worker lists, or else from the job's estimate.
+    /// Predicted from the progress that the worker lists; negative when it should have ended.
+    /// Empty while the progress says nothing.
+    [[nodiscard]] std::optional<double> measured_left_ms(const round& now, const run_id& run) const;
+    /// As measured, or else from the job's estimate.
     [[nodiscard]] double expected_left_ms(const round& now, const run_id& run) const;
+    [[nodiscard]] bool is_about_to_end(const round& now, const run_id& run) const;
     void picture_rooms(round& now) const;
     [[nodiscard]] std::vector<candidate> candidates(const round& now) const;
     [[nodiscard]] std::set<std::string> guaranteed_jobs() const;
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -17,6 +17,7 @@
 constexpr milliseconds refusal_pause{300};
 /// Suspects are left out only while they are at most one in this many workers.
 constexpr std::size_t workers_per_suspect = 3;
+constexpr double whole_percent = 100.0;
 /// A job that ends later than this many times its objective earns nothing.
 constexpr std::int64_t worthless_after_objectives = 3;
 
@@ -293,26 +294,34 @@
     }
 }
 
-double scheduler::expected_left_ms(const round& now, const run_id& run) const
+std::optional<double> scheduler::measured_left_ms(const round& now, const run_id& run) const
 {
-    constexpr double whole_percent = 100.0;
     /// Less progress than this says little about the pace.
     constexpr std::uint32_t telling_percent = 4;
-    const double estimate = static_cast<double>(
-        this->state.find(run.task.job)->definition.steps[run.task.step].estimate_ms);
     const auto found = this->runs.find(run);
-    if (found == this->runs.end()) {
-        return estimate;
+    if (found == this->runs.end() || !found->second.listed ||
+        found->second.percent < found->second.first_percent + telling_percent) {
+        return std::nullopt;
     }
     const known_run& known = found->second;
     const double open = whole_percent - known.percent;
-    if (!known.listed || known.percent < known.first_percent + telling_percent) {
-        return estimate * open / whole_percent;
-    }
     const std::chrono::duration<double, std::milli> took = known.last_progress - known.first_listed;
     const std::chrono::duration<double, std::milli> since = now.now - known.last_progress;
-    return std::max(0.0,
-                    open * took.count() / (known.percent - known.first_percent) - since.count());
+    return open * took.count() / (known.percent - known.first_percent) - since.count();
+}
+
+double scheduler::expected_left_ms(const round& now, const run_id& run) const
+{
+    const std::optional<double> measured = this->measured_left_ms(now, run);
+    if (measured.has_value()) {
+        return std::max(0.0, *measured);
+    }
+    const double estimate = static_cast<double>(
+        this->state.find(run.task.job)->definition.steps[run.task.step].estimate_ms);
+    const auto found = this->runs.find(run);
+    const double open = found == this->runs.end() ? whole_percent
+                                                  : whole_percent - found->second.percent;
+    return estimate * open / whole_percent;
 }
 
 void scheduler::picture_rooms(round& now) const
--- a/src/libjobs/scheduler_eviction.cpp
+++ b/src/libjobs/scheduler_eviction.cpp
@@ -1,5 +1,6 @@
 #include "redwingwheel/scheduler.h"
 
+#include <cmath>
 #include <limits>
 
 #include "scheduler_round.h"
@@ -126,7 +127,7 @@
             }
             const bool leaving = this->evicting.contains(run) || job->ended();
             const double left = leaving ? 0.0 : this->expected_left_ms(now, run);
-            const bool ends_soon = left <= static_cast<double>(this->options.natural_end.count());
+            const bool ends_soon = leaving || this->is_about_to_end(now, run);
             const std::uint32_t index = step.gang ? 0 : run.task.index;
             victim& unit = units[{run.task.job, run.task.occurrence, run.task.step, index}];
             unit.runs.push_back(run);
@@ -164,6 +165,14 @@
     return found;
 }
 
+/// An estimate alone is no reason to wait for a run, nor is one that should have ended already.
+bool scheduler::is_about_to_end(const round& now, const run_id& run) const
+{
+    const std::optional<double> left = this->measured_left_ms(now, run);
+    return left.has_value() &&
+           std::abs(*left) <= static_cast<double>(this->options.natural_end.count());
+}
+
 /// The cheapest set of victims that makes room, as a set of positions in `possible`; empty when
 /// there is none.
 std::optional<scheduler::eviction_plan>
--- a/src/libjobs/scheduler_test.cpp
+++ b/src/libjobs/scheduler_test.cpp
@@ -45,14 +45,14 @@
 
     void submit(const std::string& id, const std::string& queue, std::uint32_t tasks,
                 std::int64_t accelerators, bool gang = false, bool same_rack = false,
-                const std::string& key = "key")
+                const std::string& key = "key", std::int64_t estimate_ms = 5000)
     {
         job_definition job;
         step_definition step;
         step.tasks = tasks;
         step.gang = gang;
         step.same_rack = same_rack;
-        step.estimate_ms = 5000;
+        step.estimate_ms = estimate_ms;
         step.each = {1000, 1000, accelerators};
         job.steps = {step};
         REQUIRE(this->state.apply(submit_job{id, "h", "/" + queue + "/" + id, key, job,
@@ -317,6 +317,21 @@
     CHECK(made.evictions.size() == 2);
 }
 
+// Failure: an urgent job waits for a run whose declared time is far too short.
+TEST_CASE("a run is not waited for on the word of its estimate")
+{
+    world w;
+    w.add_worker("a", "r1");
+    w.submit("short", "batch", 1, 8, false, false, "key", 200);
+    w.decide();
+    const run_id run{{"short", 0, 0, 0}, 1};
+    w.report("a", {{run, "", 0}});
+    w.pass(milliseconds(100));
+    w.report("a", {{run, "", 1}});
+    w.submit("claim", "urgent", 1, 8);
+    REQUIRE(w.decide().evictions.size() == 1);
+}
+
 // Failure: work is thrown away for room that would have been free as soon without it.
 TEST_CASE("a run that is about to end is waited for, another one is evicted")
 {
