Keep room that is being freed for the step it is freed for

Cause: a reservation was taken out of the rooms only when its own step had its turn, so a step of the same urgency with an earlier objective took the room first; the freed work was lost and more was evicted 1.2 s later for the first step. Ruled out: slow stops; evicted runs end 80 to 180 ms after the decision. Change: room that is being freed is out of reach of all steps of the same or a lower urgency, and of no others.

--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -103,6 +103,13 @@
     std::vector<waiting_step> waiting;
 };
 
+/// How much a waiting step matters; lower is placed first.
+enum class urgency : std::uint8_t {
+    guaranteed, ///< Most urgent priority, within the account's guarantee. May evict others.
+    urgent,     ///< Most urgent priority, beyond the guarantee.
+    ordinary,
+};
+
 struct placement_request;
 
 /// Lives on the leader; its memory is rebuilt from the workers' reports.
@@ -164,6 +171,7 @@
         steady_time made;
         std::vector<worker_incarnation> places;
         resources each;
+        urgency rank = urgency::ordinary;
     };
     /// Runs that end together when one of them is evicted.
     struct victim {
@@ -181,6 +189,7 @@
         double cost = 0.0;
     };
     struct candidate;
+    struct held_room;
     struct round;
 
     void forget_ended_runs();
@@ -202,11 +211,16 @@
     void place(round& now, const candidate& next);
     void assign(round& now, const candidate& next, const std::vector<std::size_t>& places);
     /// Returns why the step waits.
-    waiting_step hold_reservation(round& now, const candidate& next,
-                                  const placement_request& request);
+    waiting_step free_room(round& now, const candidate& next, const placement_request& request);
     void keep_room(round& now, const candidate& next, const placement_request& request);
-    [[nodiscard]] reservation make_reservation(round& now, const eviction_plan& plan,
-                                               const placement_request& request) const;
+    [[nodiscard]] bool holds_reservation(const round& now, const candidate& next) const;
+    void make_reservation(round& now, const candidate& next, const eviction_plan& plan);
+    void drop_reservation(round& now, const task_id& owner);
+    void picture_reservations(round& now) const;
+    /// Room that is being freed for others of the same or a higher urgency is not there for `next`.
+    static void withhold(round& now, const candidate& next);
+    /// Undoes `withhold`.
+    static void give_back(round& now, const candidate& next);
     /// Runs of jobs whose priority number is above `above`; all when it is empty.
     [[nodiscard]] std::vector<victim> victims(const round& now,
                                               std::optional<std::uint32_t> above) const;
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -156,6 +156,7 @@
     this->stop_broken_gangs(now);
     this->leave_draining(now);
     this->picture_rooms(now);
+    this->picture_reservations(now);
     now.guaranteed = this->guaranteed_jobs();
     std::vector<candidate> waiting = this->candidates(now);
     const auto key = [](const candidate& each) {
--- a/src/libjobs/scheduler_eviction.cpp
+++ b/src/libjobs/scheduler_eviction.cpp
@@ -29,6 +29,7 @@
 void scheduler::place(round& now, const candidate& next)
 {
     this->mark_eligible(now, next);
+    withhold(now, next);
     placement_request request;
     request.step = &next.definition();
     request.tasks = static_cast<std::uint32_t>(next.waiting.size());
@@ -44,11 +45,10 @@
         this->assign(now, next, places);
     }
     if (places.size() == next.waiting.size()) {
-        this->reservations.erase(next.id());
-        return;
+        this->drop_reservation(now, next.id());
     }
-    if (next.rank != urgency::ordinary) {
-        waiting_step waits = this->hold_reservation(now, next, request);
+    else if (next.rank != urgency::ordinary) {
+        waiting_step waits = this->free_room(now, next, request);
         waits.tasks = next.waiting.size() - places.size();
         waits.guaranteed = next.rank == urgency::guaranteed;
         now.result.waiting.push_back(std::move(waits));
@@ -58,59 +58,34 @@
         now.gang_is_waiting = true;
         this->keep_room(now, next, request);
     }
+    give_back(now, next);
 }
 
 /// Keeps the room that is expected to be free first for a gang that has waited long, so that small
 /// work does not take it piece by piece.
 void scheduler::keep_room(round& now, const candidate& next, const placement_request& request)
 {
-    const auto held = this->reservations.find(next.id());
-    if (held == this->reservations.end() ||
-        now.now >= held->second.made + this->options.reservation_life) {
-        std::vector<victim> expected = this->victims(now, std::nullopt);
-        std::sort(expected.begin(), expected.end(), [](const victim& left, const victim& right) {
-            return left.left_ms < right.left_ms;
-        });
-        const std::optional<eviction_plan> plan = plan_eviction(now, request, expected);
-        if (!plan.has_value()) {
-            return;
-        }
-        this->reservations[next.id()] = this->make_reservation(now, *plan, request);
+    if (this->holds_reservation(now, next)) {
         return;
     }
-    this->hold_reservation(now, next, request);
-}
-
-scheduler::reservation scheduler::make_reservation(round& now, const eviction_plan& plan,
-                                                   const placement_request& request) const
-{
-    reservation made;
-    made.made = now.now;
-    made.each = request.step->each;
-    for (const std::size_t place : plan.places) {
-        made.places.push_back(now.ids[place]);
-        now.rooms[place].room -= request.step->each;
+    std::vector<victim> expected = this->victims(now, std::nullopt);
+    std::sort(expected.begin(), expected.end(), [](const victim& left, const victim& right) {
+        return left.left_ms < right.left_ms;
+    });
+    const std::optional<eviction_plan> plan = plan_eviction(now, request, expected);
+    if (plan.has_value()) {
+        this->make_reservation(now, next, *plan);
     }
-    return made;
 }
 
-/// Keeps what is being freed for the step out of the reach of those that come later in the round.
-waiting_step scheduler::hold_reservation(round& now, const candidate& next,
-                                         const placement_request& request)
+/// Evicts others for an urgent step, unless room is being freed for it already.
+waiting_step scheduler::free_room(round& now, const candidate& next,
+                                  const placement_request& request)
 {
-    const auto held = this->reservations.find(next.id());
-    if (held != this->reservations.end() &&
-        now.now < held->second.made + this->options.reservation_life) {
-        for (const worker_incarnation& worker : held->second.places) {
-            const auto place = std::find(now.ids.begin(), now.ids.end(), worker);
-            if (place != now.ids.end()) {
-                now.rooms[static_cast<std::size_t>(place - now.ids.begin())].room -=
-                    held->second.each;
-            }
-        }
+    if (this->holds_reservation(now, next)) {
         return {next.id(), wait_reason::room_is_freed};
     }
-    this->reservations.erase(next.id());
+    this->drop_reservation(now, next.id());
     return this->reserve_by_eviction(now, next, request);
 }
 
@@ -266,7 +241,7 @@
     if (next.rank != urgency::guaranteed && best->cost > limit) {
         return {next.id(), wait_reason::eviction_too_dear, 0, false, best->cost, limit};
     }
-    this->reservations[next.id()] = this->make_reservation(now, *best, request);
+    this->make_reservation(now, next, *best);
     for (const victim& unit : best->units) {
         if (unit.ends_soon) {
             continue;
--- a/src/libjobs/scheduler_round.h
+++ b/src/libjobs/scheduler_round.h
@@ -5,13 +5,6 @@
 
 namespace redwingwheel::jobs {
 
-/// How much a waiting step matters; lower is placed first.
-enum class urgency : std::uint8_t {
-    guaranteed, ///< Most urgent priority, within the account's guarantee. May evict others.
-    urgent,     ///< Most urgent priority, beyond the guarantee.
-    ordinary,
-};
-
 /// A step with tasks that wait.
 struct scheduler::candidate {
     const std::string* job_id = nullptr;
@@ -32,6 +25,14 @@
     [[nodiscard]] task_id id() const { return {*this->job_id, this->occurrence, this->step, 0}; }
 };
 
+/// Room that is being freed for a step.
+struct scheduler::held_room {
+    task_id owner;
+    urgency rank = urgency::ordinary;
+    resources each;
+    std::vector<std::size_t> places;
+};
+
 /// State of one round of decisions.
 struct scheduler::round {
     steady_time now;
@@ -41,6 +42,7 @@
     /// Suspects are few enough to be left out.
     bool avoid_suspects = true;
     std::set<std::string> guaranteed;
+    std::vector<held_room> held;
     /// Room is being kept for an ordinary gang; one at a time, so that most room stays usable.
     bool gang_is_waiting = false;
     schedule result;
--- a/src/libjobs/scheduler_test.cpp
+++ b/src/libjobs/scheduler_test.cpp
@@ -317,6 +317,48 @@
     CHECK(made.evictions.size() == 2);
 }
 
+// Failure: room that was freed by throwing work away goes to a job of the same urgency that came
+// later, and more work is thrown away for the first.
+TEST_CASE("room that is being freed for an urgent step goes to no other of its urgency")
+{
+    world w;
+    w.add_worker("a", "r1");
+    w.submit("borrower", "batch", 1, 8, false, false, "other");
+    w.decide();
+    const run_id borrower{{"borrower", 0, 0, 0}, 1};
+    w.report("a", {{borrower, "", 0}});
+    w.pass(milliseconds(500));
+    w.submit("first", "urgent", 1, 8, false, false, "other");
+    REQUIRE(w.decide().evictions.size() == 1);
+    w.pass(milliseconds(200));
+    // Its objective is earlier than that of the first.
+    w.submit("second", "urgent", 1, 8, false, false, "other", 1000);
+    w.end(borrower, run_end::stopped);
+    const schedule made = w.decide();
+    REQUIRE(made.assignments.size() == 1);
+    CHECK(made.assignments.front().runs.front().run.task.job == "first");
+}
+
+// Failure: a job beyond its account's guarantee keeps another account from its own.
+TEST_CASE("room that is being freed beyond a guarantee goes to guaranteed work")
+{
+    world w;
+    w.add_worker("a", "r1");
+    w.submit("borrower", "batch", 1, 8, false, false, "other");
+    w.decide();
+    const run_id borrower{{"borrower", 0, 0, 0}, 1};
+    w.report("a", {{borrower, "", 0}});
+    w.pass(milliseconds(500));
+    w.submit("beyond", "urgent", 1, 8, false, false, "other");
+    REQUIRE(w.decide().evictions.size() == 1);
+    w.pass(milliseconds(200));
+    w.submit("owner", "urgent", 1, 8);
+    w.end(borrower, run_end::stopped);
+    const schedule made = w.decide();
+    REQUIRE(made.assignments.size() == 1);
+    CHECK(made.assignments.front().runs.front().run.task.job == "owner");
+}
+
 // Failure: an urgent job waits for a run whose declared time is far too short.
 TEST_CASE("a run is not waited for on the word of its estimate")
 {
