Correct declared durations by what runs of the queue took

Cause: declared durations of these users are off by up to ten times either way. They set what an urgent job may evict, the order of objectives and, without progress, when a run is expected to end; an urgent job that declared 186 ms and took 2.1 s waited 4 s because it might evict nothing. Ruled out: a fixed factor; other queues declare well (errors of a fifth). Change: each queue keeps mean and variance of its runs and the error of their declarations on the leader; a prediction weighs both by the inverse of their squared errors, from the fifth run on.

--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "redwingwheel/clock.h"
+#include "redwingwheel/duration_history.h"
 #include "redwingwheel/job_state.h"
 
 /// The leader's decisions on jobs: which run goes to which worker, which runs are stopped in favour
@@ -192,16 +193,20 @@
     struct held_room;
     struct round;
 
+    void note_duration(const run_id& run);
     void forget_ended_runs();
     void release_lost(round& now);
     void stop_stalled(round& now);
     void stop_broken_gangs(round& now);
     void leave_draining(round& now);
     void evict(round& now, const run_id& run, const std::string& reason);
+    /// The step's declared duration, corrected by what runs of its queue took.
+    [[nodiscard]] double predicted_ms(const job_record& job, const step_definition& step) const;
+    [[nodiscard]] std::int64_t longest_chain_ms(const job_record& job) const;
     /// Predicted from the progress that the worker lists; negative when it should have ended.
     /// Empty while the progress says nothing.
     [[nodiscard]] std::optional<double> measured_left_ms(const round& now, const run_id& run) const;
-    /// As measured, or else from the job's estimate.
+    /// As measured, or else as predicted for the step.
     [[nodiscard]] double expected_left_ms(const round& now, const run_id& run) const;
     [[nodiscard]] bool is_about_to_end(const round& now, const run_id& run) const;
     void picture_rooms(round& now) const;
@@ -239,6 +244,8 @@
     std::map<run_id, std::string> evicting;
     std::map<task_id, std::set<std::string>> failed_on;
     std::map<task_id, reservation> reservations;
+    /// By queue.
+    std::map<std::string, duration_history> durations;
     steady_time leading_since;
 };
 
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -21,21 +21,6 @@
 /// A job that ends later than this many times its objective earns nothing.
 constexpr std::int64_t worthless_after_objectives = 3;
 
-std::int64_t longest_chain_ms(const job_definition& definition)
-{
-    std::vector<std::int64_t> end(definition.steps.size(), 0);
-    std::int64_t longest = 0;
-    for (std::size_t step = 0; step < definition.steps.size(); ++step) {
-        std::int64_t begin = 0;
-        for (const std::uint32_t earlier : definition.steps[step].after) {
-            begin = std::max(begin, end[earlier]);
-        }
-        end[step] = begin + definition.steps[step].estimate_ms;
-        longest = std::max(longest, end[step]);
-    }
-    return longest;
-}
-
 std::int64_t widest_step_accelerators(const job_definition& definition)
 {
     std::int64_t widest = 0;
@@ -113,6 +98,7 @@
     if (end.how == run_end::done) {
         known.failures_in_row = 0;
         known.suspect_until = steady_time();
+        this->note_duration(end.run);
     }
     if (end.how != run_end::failed) {
         return;
@@ -126,6 +112,18 @@
     }
 }
 
+/// Only of runs that began from nothing: a resumed one takes less than its step.
+void scheduler::note_duration(const run_id& run)
+{
+    const job_record* const job = this->state.find(run.task.job);
+    const auto known = this->runs.find(run);
+    if (job == nullptr || known == this->runs.end() || run.number != 1) {
+        return;
+    }
+    const std::chrono::duration<double, std::milli> took = this->clock() - known->second.since;
+    this->durations[job->queue].add(job->definition.steps[run.task.step].estimate_ms, took.count());
+}
+
 void scheduler::note_refusal(const worker_incarnation& worker)
 {
     this->workers[worker].refused_until = this->clock() + refusal_pause;
@@ -295,6 +293,27 @@
     }
 }
 
+double scheduler::predicted_ms(const job_record& job, const step_definition& step) const
+{
+    const auto known = this->durations.find(job.queue);
+    return known == this->durations.end() ? static_cast<double>(step.estimate_ms)
+                                          : known->second.predict_ms(step.estimate_ms);
+}
+
+std::int64_t scheduler::longest_chain_ms(const job_record& job) const
+{
+    const std::vector<step_definition>& steps = job.definition.steps;
+    std::vector<double> end(steps.size(), 0.0);
+    for (std::size_t step = 0; step < steps.size(); ++step) {
+        double begin = 0.0;
+        for (const std::uint32_t earlier : steps[step].after) {
+            begin = std::max(begin, end[earlier]);
+        }
+        end[step] = begin + this->predicted_ms(job, steps[step]);
+    }
+    return static_cast<std::int64_t>(*std::max_element(end.begin(), end.end()));
+}
+
 std::optional<double> scheduler::measured_left_ms(const round& now, const run_id& run) const
 {
     /// Less progress than this says little about the pace.
@@ -317,12 +336,12 @@
     if (measured.has_value()) {
         return std::max(0.0, *measured);
     }
-    const double estimate = static_cast<double>(
-        this->state.find(run.task.job)->definition.steps[run.task.step].estimate_ms);
+    const job_record& job = *this->state.find(run.task.job);
+    const double whole = this->predicted_ms(job, job.definition.steps[run.task.step]);
     const auto found = this->runs.find(run);
     const double open = found == this->runs.end() ? whole_percent
                                                   : whole_percent - found->second.percent;
-    return estimate * open / whole_percent;
+    return whole * open / whole_percent;
 }
 
 void scheduler::picture_rooms(round& now) const
@@ -385,7 +404,7 @@
         if (job.ended()) {
             continue;
         }
-        const std::int64_t chain = longest_chain_ms(job.definition);
+        const std::int64_t chain = this->longest_chain_ms(job);
         const std::int64_t allowed =
             static_cast<std::int64_t>(job.stretch * static_cast<double>(chain)) +
             job.latency_target_ms;
--- a/src/libjobs/scheduler_eviction.cpp
+++ b/src/libjobs/scheduler_eviction.cpp
@@ -233,7 +233,7 @@
     const resources& each = request.step->each;
     constexpr double ms_per_s = 1000.0;
     const double own_work = weight_of(each) * static_cast<double>(request.tasks) *
-                            static_cast<double>(request.step->estimate_ms) / ms_per_s;
+                            this->predicted_ms(*next.job, *request.step) / ms_per_s;
     if (!best.has_value()) {
         return {next.id(), wait_reason::no_room};
     }
--- a/src/libjobs/scheduler_test.cpp
+++ b/src/libjobs/scheduler_test.cpp
@@ -359,6 +359,30 @@
     CHECK(made.assignments.front().runs.front().run.task.job == "owner");
 }
 
+// Failure: a gang that lost a worker late in its run is spread at once, and takes several times as
+// long as it would in its rack a moment later.
+TEST_CASE("a guaranteed gang waits for its rack anew after a run was lost")
+{
+    world w;
+    w.add_worker("a", "r1");
+    w.add_worker("b", "r1");
+    w.add_worker("c", "r2");
+    w.submit("gang", "urgent", 2, 8, true, true);
+    REQUIRE(w.decide().assignments.size() == 1);
+    w.pass(milliseconds(4000));
+    w.report("a");
+    w.report("c");
+    w.decisions.worker_ended(w.workers["b"].incarnation);
+    w.decide();
+    w.end({{"gang", 0, 0, 0}, 1}, run_end::broken);
+    w.add_worker("d", "r1");
+    w.submit("borrower", "batch", 1, 8, false, false, "other");
+    CHECK(w.workers_of("gang").empty());
+    w.decide();
+    const std::set<std::string> chosen = w.workers_of("gang");
+    CHECK(chosen == std::set<std::string>{"a", "d"});
+}
+
 // Failure: an urgent job waits for a run whose declared time is far too short.
 TEST_CASE("a run is not waited for on the word of its estimate")
 {
