Let a guaranteed gang wait for its rack anew after it lost a run

Change: once a step has begun, the time counts from when its tasks began to wait again; 1.5 s in place of 1 s.

--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -58,8 +58,9 @@
     /// Urgent work beyond the guarantee evicts others while the work lost is at most this share of
     /// its own.
     double urgent_eviction_share = 1.0;
-    /// An urgent gang waits this long for its rack before it is spread.
-    milliseconds rack_patience{1000};
+    /// A guaranteed gang waits this long for its rack before it is spread, which leaves time to
+    /// begin within the users' bound for guaranteed work (2.7 s).
+    milliseconds rack_patience{1500};
     /// An ordinary gang that has waited this long has room kept for it.
     milliseconds gang_patience{1500};
     /// A run that is expected to end within this is waited for: stopping it takes as long.
@@ -194,6 +195,8 @@
     struct round;
 
     void note_duration(const run_id& run);
+    void note_waiting(const round& now, const std::vector<candidate>& waiting);
+    [[nodiscard]] bool rack_is_out_of_reach(const round& now, const candidate& next) const;
     void forget_ended_runs();
     void release_lost(round& now);
     void stop_stalled(round& now);
@@ -244,6 +247,8 @@
     std::map<run_id, std::string> evicting;
     std::map<task_id, std::set<std::string>> failed_on;
     std::map<task_id, reservation> reservations;
+    /// Steps with tasks that wait, and since when: a step that lost its runs waits anew.
+    std::map<task_id, steady_time> waiting_since;
     /// By queue.
     std::map<std::string, duration_history> durations;
     steady_time leading_since;
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -44,6 +44,7 @@
     this->evicting.clear();
     this->failed_on.clear();
     this->reservations.clear();
+    this->waiting_since.clear();
     this->leading_since = this->clock();
 }
 
@@ -157,6 +158,7 @@
     this->picture_reservations(now);
     now.guaranteed = this->guaranteed_jobs();
     std::vector<candidate> waiting = this->candidates(now);
+    this->note_waiting(now, waiting);
     const auto key = [](const candidate& each) {
         return std::make_tuple(each.rank, each.lateness, each.job->priority,
                                each.objective_unix_ms);
@@ -170,6 +172,16 @@
     return std::move(now.result);
 }
 
+void scheduler::note_waiting(const round& now, const std::vector<candidate>& waiting)
+{
+    std::map<task_id, steady_time> still;
+    for (const candidate& each : waiting) {
+        const auto known = this->waiting_since.find(each.id());
+        still[each.id()] = known == this->waiting_since.end() ? now.now : known->second;
+    }
+    this->waiting_since = std::move(still);
+}
+
 void scheduler::forget_ended_runs()
 {
     const auto is_over = [this](const run_id& run) {
--- a/src/libjobs/scheduler_eviction.cpp
+++ b/src/libjobs/scheduler_eviction.cpp
@@ -34,8 +34,8 @@
     request.step = &next.definition();
     request.tasks = static_cast<std::uint32_t>(next.waiting.size());
     const milliseconds waited(now.now_unix_ms - next.waiting_since_unix_ms);
-    request.any_rack = !fits_when_empty(request, now.rooms) ||
-                       (next.rank == urgency::guaranteed && waited >= this->options.rack_patience);
+    request.any_rack =
+        !fits_when_empty(request, now.rooms) || this->rack_is_out_of_reach(now, next);
     request.away_from_data =
         !fits_when_empty(request, now.rooms) ||
         waited >= milliseconds(std::max<std::int64_t>(next.definition().estimate_ms, 1000)) ||
@@ -61,6 +61,22 @@
     give_back(now, next);
 }
 
+/// The bound for guaranteed work counts from the submission to its first start; later, losing time
+/// by waiting is cheaper than a run across racks.
+bool scheduler::rack_is_out_of_reach(const round& now, const candidate& next) const
+{
+    if (next.rank != urgency::guaranteed) {
+        return false;
+    }
+    const step_record& record = next.job->open.at(next.occurrence).steps[next.step];
+    const bool began = std::any_of(record.tasks.begin(), record.tasks.end(),
+                                   [](const task_record& task) { return task.last_run > 0; });
+    const milliseconds since_due(now.now_unix_ms - next.waiting_since_unix_ms);
+    const milliseconds since_waiting = std::chrono::duration_cast<milliseconds>(
+        now.now - this->waiting_since.at(next.id()));
+    return (began ? since_waiting : since_due) >= this->options.rack_patience;
+}
+
 /// Keeps the room that is expected to be free first for a gang that has waited long, so that small
 /// work does not take it piece by piece.
 void scheduler::keep_room(round& now, const candidate& next, const placement_request& request)
