Place nothing on workers whose supervisor is silent

Ruled out: shorter grants (work lapses when supervisors freeze); asking more often (bytes between data centres). Change: a supervisor polls again as soon as it has an answer; one that has not 0.4 s later is silent, and its worker gets nothing new until it polls.

--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -55,6 +55,9 @@
     /// A run on a draining worker is moved when it is predicted to need this much longer than the
     /// worker stays.
     milliseconds drain_slack{1000};
+    /// A supervisor polls again within a round trip; one that has not for this long, a round trip
+    /// and a lost packet's repetition, is cut off or frozen, and its worker gets nothing new.
+    milliseconds silence_limit{400};
     /// Urgent work beyond the guarantee evicts others while the work lost is at most this share of
     /// its own.
     double urgent_eviction_share = 1.0;
@@ -125,7 +128,7 @@
     /// Takes a worker's report.
     void report(const worker_description& worker, const std::vector<run_progress>& running);
 
-    /// A grant is being sent to the worker's supervisor.
+    /// A grant is being sent to the worker's supervisor, which is expected to poll again.
     void grant(const worker_incarnation& worker);
 
     /// The worker's incarnation is over: nothing runs on it any more.
@@ -153,6 +156,8 @@
     struct known_worker {
         worker_description description;
         steady_time grant_until;
+        /// When its supervisor's last poll was answered, until the next one comes.
+        std::optional<steady_time> answered_at;
         bool ended = false;
         steady_time suspect_until;
         steady_time refused_until;
@@ -215,6 +220,7 @@
     void picture_rooms(round& now) const;
     [[nodiscard]] std::vector<candidate> candidates(const round& now) const;
     [[nodiscard]] std::set<std::string> guaranteed_jobs() const;
+    [[nodiscard]] bool is_silent(const round& now, const known_worker& worker) const;
     void mark_eligible(round& now, const candidate& next) const;
     void place(round& now, const candidate& next);
     void assign(round& now, const candidate& next, const std::vector<std::size_t>& places);
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -62,6 +62,7 @@
     known_worker& known = this->workers[worker.incarnation];
     known.description = worker;
     known.grant_until = now + this->options.grant_life;
+    known.answered_at.reset();
     for (const run_progress& each : running) {
         known_run& run = this->runs[each.run];
         if (!run.listed || run.percent != each.percent) {
@@ -85,7 +86,9 @@
 
 void scheduler::grant(const worker_incarnation& worker)
 {
-    this->workers[worker].grant_until = this->clock() + this->options.grant_life;
+    known_worker& known = this->workers[worker];
+    known.grant_until = this->clock() + this->options.grant_life;
+    known.answered_at = this->clock();
 }
 
 void scheduler::worker_ended(const worker_incarnation& worker)
@@ -455,6 +458,12 @@
     return found;
 }
 
+bool scheduler::is_silent(const round& now, const known_worker& worker) const
+{
+    return worker.answered_at.has_value() &&
+           now.now > *worker.answered_at + this->options.silence_limit;
+}
+
 void scheduler::mark_eligible(round& now, const candidate& next) const
 {
     const step_definition& step = next.definition();
@@ -477,7 +486,7 @@
                                                      step.required_label) != worker.labels.end();
         const bool suspected = known.suspect_until > now.now;
         room.eligible = worker.service == next.job->service && labelled && !worker.draining &&
-                        worker.reachable &&
+                        worker.reachable && !this->is_silent(now, known) &&
                         known.refused_until <= now.now &&
                         !this->state.evacuated().contains(worker.data_centre) &&
                         !(suspected && now.avoid_suspects);
--- a/src/libjobs/scheduler_test.cpp
+++ b/src/libjobs/scheduler_test.cpp
@@ -39,8 +39,9 @@
 
     void report(const std::string& id, const std::vector<run_progress>& running = {})
     {
-        this->decisions.report(this->workers[id], running);
+        // As a supervisor does: it polls again as soon as it has an answer.
         this->decisions.grant(this->workers[id].incarnation);
+        this->decisions.report(this->workers[id], running);
     }
 
     void submit(const std::string& id, const std::string& queue, std::uint32_t tasks,
@@ -278,6 +279,21 @@
     CHECK(w.decide().assignments.size() == 1);
 }
 
+// Failure: a worker that is cut off looks idle and draws gangs, which wait for its lease to end.
+TEST_CASE("nothing is placed on a worker whose supervisor does not poll again")
+{
+    world w;
+    w.add_worker("a", "r1");
+    w.decisions.grant(w.workers["a"].incarnation);
+    w.submit("soon", "batch", 1, 1);
+    CHECK(w.decide().assignments.size() == 1);
+    w.pass(milliseconds(500));
+    w.submit("later", "batch", 1, 1);
+    CHECK(w.decide().assignments.empty());
+    w.report("a");
+    CHECK(w.decide().assignments.size() == 1);
+}
+
 // Failure: a worker that is cut off for a moment loses runs that went on meanwhile.
 TEST_CASE("a run on a worker that is not heard of is not taken for stalled")
 {
