--- a/src/include/redwingwheel/worker_port.h
+++ b/src/include/redwingwheel/worker_port.h
@@ -47,7 +47,10 @@
     refused, ///< The answer is not a listing of the worker.
 };
 
-[[nodiscard]] constexpr std::string_view error_layer(worker_errc) { return "worker"; }
+[[nodiscard]] constexpr std::string_view error_layer(worker_errc)
+{
+    return "worker";
+}
 [[nodiscard]] std::string_view error_name(worker_errc code);
 [[nodiscard]] absl::StatusCode error_category(worker_errc code);
 
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -354,8 +354,8 @@
     const job_record& job = *this->state.find(run.task.job);
     const double whole = this->predicted_ms(job, job.definition.steps[run.task.step]);
     const auto found = this->runs.find(run);
-    const double open = found == this->runs.end() ? whole_percent
-                                                  : whole_percent - found->second.percent;
+    const double open =
+        found == this->runs.end() ? whole_percent : whole_percent - found->second.percent;
     return whole * open / whole_percent;
 }
 
--- a/src/libjobs/scheduler_eviction.cpp
+++ b/src/libjobs/scheduler_eviction.cpp
@@ -72,8 +72,8 @@
     const bool began = std::any_of(record.tasks.begin(), record.tasks.end(),
                                    [](const task_record& task) { return task.last_run > 0; });
     const milliseconds since_due(now.now_unix_ms - next.waiting_since_unix_ms);
-    const milliseconds since_waiting = std::chrono::duration_cast<milliseconds>(
-        now.now - this->waiting_since.at(next.id()));
+    const milliseconds since_waiting =
+        std::chrono::duration_cast<milliseconds>(now.now - this->waiting_since.at(next.id()));
     return (began ? since_waiting : since_due) >= this->options.rack_patience;
 }
 
@@ -85,9 +85,8 @@
         return;
     }
     std::vector<victim> expected = this->victims(now, std::nullopt);
-    std::sort(expected.begin(), expected.end(), [](const victim& left, const victim& right) {
-        return left.left_ms < right.left_ms;
-    });
+    std::sort(expected.begin(), expected.end(),
+              [](const victim& left, const victim& right) { return left.left_ms < right.left_ms; });
     const std::optional<eviction_plan> plan = plan_eviction(now, request, expected);
     if (plan.has_value()) {
         this->make_reservation(now, next, *plan);
