Blame a gang's stall on the worker where nothing else goes on

Change: a member's worker on which another job has made progress since is sound; one that alone remains is at fault for sure; several that remain are at fault after two stalls or failures in a row. The retry prefers workers that no member was on. The test fails on the code before.

--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -205,6 +205,11 @@
     void forget_ended_runs();
     void release_lost(round& now);
     void stop_stalled(round& now);
+    void blame_for_stall(const round& now, const run_id& run);
+    [[nodiscard]] bool has_progressed_since(const worker_incarnation& worker,
+                                            const run_id& stalled) const;
+    void suspect(steady_time now, known_worker& worker) const;
+    [[nodiscard]] std::vector<run_id> runs_to_stop_with(const run_id& run) const;
     void stop_broken_gangs(round& now);
     void leave_draining(round& now);
     void evict(round& now, const run_id& run, const std::string& reason);
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -109,11 +109,7 @@
     }
     this->failed_on[end.run.task].insert(worker.id);
     ++known.failures_in_row;
-    if (known.failures_in_row >= failures_before_suspicion) {
-        const std::uint32_t doublings =
-            std::min(known.failures_in_row - failures_before_suspicion, max_suspicion_doublings);
-        known.suspect_until = this->clock() + this->options.suspicion * (1 << doublings);
-    }
+    this->suspect(this->clock(), known);
 }
 
 /// Only of runs that began from nothing: a resumed one takes less than its step.
@@ -235,35 +231,84 @@
             continue;
         }
         const job_record* const job = this->state.find(run.task.job);
-        if (job == nullptr || job->definition.steps[run.task.step].lasting) {
-            continue;
-        }
-        const task_record* const task = this->state.find(run.task);
-        known_worker& on = this->workers[task->worker];
-        if (now.now > on.grant_until) {
+        if (job == nullptr || job->definition.steps[run.task.step].lasting ||
+            now.now > this->workers[this->state.find(run.task)->worker].grant_until) {
             continue;
         }
-        on.failures_in_row = std::max(on.failures_in_row, failures_before_suspicion);
-        on.suspect_until = now.now + this->options.suspicion * 2;
-        this->failed_on[run.task].insert(task->worker.id);
+        this->blame_for_stall(now, run);
         this->evict(now, run, "no progress");
     }
 }
 
-/// Stops a run. The members of a gang are stopped together: one that only breaks has nothing newer
-/// to resume from than its last periodic checkpoint.
-void scheduler::evict(round& now, const run_id& run, const std::string& reason)
+/// The members of a gang stand still together, whichever worker is at fault. A worker on which
+/// another job has made progress since is sound; one that alone remains is at fault for sure.
+void scheduler::blame_for_stall(const round& now, const run_id& run)
+{
+    const std::vector<run_id> members = this->runs_to_stop_with(run);
+    std::vector<worker_incarnation> doubtful;
+    for (const run_id& member : members) {
+        const worker_incarnation& on = this->state.find(member.task)->worker;
+        this->failed_on[member.task].insert(on.id);
+        if (!this->has_progressed_since(on, run)) {
+            doubtful.push_back(on);
+        }
+    }
+    for (const worker_incarnation& each : doubtful) {
+        known_worker& known = this->workers[each];
+        ++known.failures_in_row;
+        if (doubtful.size() == 1) {
+            known.failures_in_row = std::max(known.failures_in_row, failures_before_suspicion + 1);
+        }
+        this->suspect(now.now, known);
+    }
+}
+
+bool scheduler::has_progressed_since(const worker_incarnation& worker, const run_id& stalled) const
+{
+    const steady_time since = this->runs.at(stalled).last_progress;
+    const std::set<run_id>& on_worker = this->state.runs_on(worker);
+    return std::any_of(on_worker.begin(), on_worker.end(), [this, since, &stalled](const run_id& each) {
+        const auto known = this->runs.find(each);
+        return each.task.job != stalled.task.job && known != this->runs.end() &&
+               known->second.listed && known->second.last_progress > since;
+    });
+}
+
+/// Leaves a worker out after failures in a row, for longer with each.
+void scheduler::suspect(steady_time now, known_worker& worker) const
+{
+    if (worker.failures_in_row >= failures_before_suspicion) {
+        const std::uint32_t doublings =
+            std::min(worker.failures_in_row - failures_before_suspicion, max_suspicion_doublings);
+        worker.suspect_until = now + this->options.suspicion * (1 << doublings);
+    }
+}
+
+/// The run, or all assigned members of its gang.
+std::vector<run_id> scheduler::runs_to_stop_with(const run_id& run) const
 {
     const job_record& job = *this->state.find(run.task.job);
     const std::vector<task_record>& tasks =
         job.open.at(run.task.occurrence).steps[run.task.step].tasks;
+    std::vector<run_id> found;
     run_id each = run;
     for (each.task.index = 0; each.task.index < tasks.size(); ++each.task.index) {
         const bool stops =
             each.task.index == run.task.index || job.definition.steps[run.task.step].gang;
         const task_record& task = tasks[each.task.index];
-        if (stops && task.phase == task_phase::assigned && task.last_run == run.number &&
-            this->evicting.emplace(each, reason).second) {
+        if (stops && task.phase == task_phase::assigned && task.last_run == run.number) {
+            found.push_back(each);
+        }
+    }
+    return found;
+}
+
+/// Stops a run. The members of a gang are stopped together: one that only breaks has nothing newer
+/// to resume from than its last periodic checkpoint.
+void scheduler::evict(round& now, const run_id& run, const std::string& reason)
+{
+    for (const run_id& each : this->runs_to_stop_with(run)) {
+        if (this->evicting.emplace(each, reason).second) {
             now.result.evictions.push_back({each, reason});
         }
     }
--- a/src/libjobs/scheduler_test.cpp
+++ b/src/libjobs/scheduler_test.cpp
@@ -414,6 +414,55 @@
     REQUIRE(w.decide().evictions.size() == 1);
 }
 
+// Failure: a sound member of a gang that stands still is blamed, and the gang is given to the
+// worker at fault again.
+TEST_CASE("a gang that stands still is blamed on the worker where nothing else goes on")
+{
+    world w;
+    for (const char* const id : {"a", "b", "c"}) {
+        w.add_worker(id, "r1");
+    }
+    w.submit("gang", "batch", 2, 7, true);
+    REQUIRE(w.decide().assignments.size() == 1);
+    const run_id first{{"gang", 0, 0, 0}, 1};
+    const run_id second{{"gang", 0, 0, 1}, 1};
+    const std::string sound = w.state.find(first.task)->worker.id;
+    const std::string at_fault = w.state.find(second.task)->worker.id;
+    w.submit("other", "batch", 3, 1);
+    w.decide();
+    const auto other_on = [&w](const std::string& worker) {
+        for (std::uint32_t index = 0; index < 3; ++index) {
+            const run_id run{{"other", 0, 0, index}, 1};
+            if (w.state.find(run.task)->worker.id == worker) {
+                return run;
+            }
+        }
+        FAIL("nothing else runs on " + worker);
+        return run_id();
+    };
+    const run_id other = other_on(sound);
+    std::uint32_t percent = 0;
+    schedule made;
+    for (int step = 0; step < 30 && made.evictions.empty(); ++step) {
+        w.pass(milliseconds(100));
+        w.report(at_fault, {{second, "", 5}});
+        w.report(sound, {{first, "", 5}, {other, "", ++percent}});
+        made = w.decide();
+    }
+    REQUIRE(made.evictions.size() >= 2);
+    w.end(first, run_end::stopped);
+    w.end(second, run_end::stopped);
+    w.report(at_fault);
+    w.report(sound);
+    w.report("a");
+    w.report("b");
+    w.report("c");
+    w.submit("next", "batch", 1, 7);
+    w.decide();
+    CHECK_FALSE(w.workers_of("next").contains(at_fault));
+    CHECK_FALSE(w.workers_of("gang").contains(at_fault));
+}
+
 // Failure: work is thrown away for room that would have been free as soon without it.
 TEST_CASE("a run that is about to end is waited for, another one is evicted")
 {
