--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -240,6 +241,8 @@
     static void withhold(round& now, const candidate& next);
     /// Undoes `withhold`.
     static void give_back(round& now, const candidate& next);
+    static void each_withheld(round& now, const candidate& next,
+                              const std::function<void(resources& room, const resources& each)>&);
     /// Runs of jobs whose priority number is above `above`; all when it is empty.
     [[nodiscard]] std::vector<victim> victims(const round& now,
                                               std::optional<std::uint32_t> above) const;
--- a/src/libjobs/scheduler_reservations.cpp
+++ b/src/libjobs/scheduler_reservations.cpp
@@ -57,21 +57,21 @@
 
 void scheduler::withhold(round& now, const candidate& next)
 {
-    for (const held_room& held : now.held) {
-        if (held.owner != next.id() && held.rank <= next.rank) {
-            for (const std::size_t place : held.places) {
-                now.rooms[place].room -= held.each;
-            }
-        }
-    }
+    each_withheld(now, next, [](resources& room, const resources& each) { room -= each; });
 }
 
 void scheduler::give_back(round& now, const candidate& next)
+{
+    each_withheld(now, next, [](resources& room, const resources& each) { room += each; });
+}
+
+void scheduler::each_withheld(round& now, const candidate& next,
+                              const std::function<void(resources&, const resources&)>& change)
 {
     for (const held_room& held : now.held) {
         if (held.owner != next.id() && held.rank <= next.rank) {
             for (const std::size_t place : held.places) {
-                now.rooms[place].room += held.each;
+                change(now.rooms[place].room, held.each);
             }
         }
     }
--- a/src/libjobs/scheduler_test.cpp
+++ b/src/libjobs/scheduler_test.cpp
@@ -84,6 +84,18 @@
         this->state.apply(record_ends{worker, {listed}, this->unix_ms});
     }
 
+    /// One worker, which another account's ordinary run fills for half a second.
+    run_id lend_a_worker()
+    {
+        this->add_worker("a", "r1");
+        this->submit("borrower", "batch", 1, 8, false, false, "other");
+        this->decide();
+        const run_id borrower{{"borrower", 0, 0, 0}, 1};
+        this->report("a", {{borrower, "", 0}});
+        this->pass(milliseconds(500));
+        return borrower;
+    }
+
     [[nodiscard]] std::set<std::string> workers_of(const std::string& job) const
     {
         std::set<std::string> found;
@@ -338,12 +350,7 @@
 TEST_CASE("room that is being freed for an urgent step goes to no other of its urgency")
 {
     world w;
-    w.add_worker("a", "r1");
-    w.submit("borrower", "batch", 1, 8, false, false, "other");
-    w.decide();
-    const run_id borrower{{"borrower", 0, 0, 0}, 1};
-    w.report("a", {{borrower, "", 0}});
-    w.pass(milliseconds(500));
+    const run_id borrower = w.lend_a_worker();
     w.submit("first", "urgent", 1, 8, false, false, "other");
     REQUIRE(w.decide().evictions.size() == 1);
     w.pass(milliseconds(200));
@@ -359,12 +366,7 @@
 TEST_CASE("room that is being freed beyond a guarantee goes to guaranteed work")
 {
     world w;
-    w.add_worker("a", "r1");
-    w.submit("borrower", "batch", 1, 8, false, false, "other");
-    w.decide();
-    const run_id borrower{{"borrower", 0, 0, 0}, 1};
-    w.report("a", {{borrower, "", 0}});
-    w.pass(milliseconds(500));
+    const run_id borrower = w.lend_a_worker();
     w.submit("beyond", "urgent", 1, 8, false, false, "other");
     REQUIRE(w.decide().evictions.size() == 1);
     w.pass(milliseconds(200));
--- a/testsuite/agent_failures/run.sh
+++ b/testsuite/agent_failures/run.sh
@@ -48,9 +48,11 @@
     --adjacency data_centre --parameters '{"run_ms": 6000}' > /dev/null
 must_happen 10 job_is frozen running
 victim=$(json "$account" job show frozen | grep -o '"workers":\["w[0-9]*' | grep -o 'w[0-9]*$')
+check "a worker of the gang is known" [ -n "$victim" ]
 kill -STOP "${process_ids[$victim]}"
 starts_again() { json "$account" job show frozen | grep -q '"starts":2'; }
 check "a gang with a frozen agent is run again" wait_until 20 starts_again
+echo "frozen: $victim, job: $(json "$account" job show frozen)"
 kill -CONT "${process_ids[$victim]}"
 check "the gang ends" wait_until 25 job_is frozen done
 check "no accelerator was used twice" [ "$(doubles)" -eq 0 ]
