--- /dev/null
+++ b/src/libjobs/scheduler_world.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <catch2/catch.hpp>
+
+#include "redwingwheel/scheduler.h"
+
+namespace redwingwheel::jobs {
+
+/// A leader's scheduler over a state that applies its decisions at once.
+class scheduler_world {
+public:
+    scheduler_world() : decisions(scheduler_options(), this->time.function(), this->state)
+    {
+        catalogue made;
+        made.version = 1;
+        made.services = {"inspector"};
+        made.queues = {{"urgent", "h", "/urgent/", "inspector", 0, 2, 1.5, 300, false},
+                       {"batch", "h", "/batch/", "inspector", 1, 2, 3.0, 1000, false}};
+        made.accounts = {{"owner", {"key"}, 16}, {"other", {"other"}, 0}};
+        this->state.apply(install_catalogue{made});
+        this->decisions.begin_leadership();
+    }
+
+    void add_worker(const std::string& id, const std::string& rack, const std::string& zone = "dc")
+    {
+        worker_description worker;
+        worker.incarnation = {id, 1, "host-" + id};
+        worker.service = "inspector";
+        worker.data_centre = zone;
+        worker.rack = rack;
+        worker.labels = {"kind", rack};
+        worker.capacity = {32000, 64000, 8};
+        this->workers[id] = worker;
+        this->report(id);
+    }
+
+    void report(const std::string& id, const std::vector<run_progress>& running = {})
+    {
+        // As a supervisor does: it polls again as soon as it has an answer.
+        this->decisions.grant(this->workers[id].incarnation);
+        this->decisions.report(this->workers[id], running);
+    }
+
+    void submit(const std::string& id, const std::string& queue, std::uint32_t tasks,
+                std::int64_t accelerators, bool gang = false, bool same_rack = false,
+                const std::string& key = "key", std::int64_t estimate_ms = 5000)
+    {
+        job_definition job;
+        step_definition step;
+        step.tasks = tasks;
+        step.gang = gang;
+        step.same_rack = same_rack;
+        step.estimate_ms = estimate_ms;
+        step.each = {1000, 1000, accelerators};
+        job.steps = {step};
+        REQUIRE(this->state.apply(submit_job{id, "h", "/" + queue + "/" + id, key, job,
+                                             this->unix_ms}) == job_verdict::accepted);
+    }
+
+    schedule decide()
+    {
+        const schedule made = this->decisions.decide(this->unix_ms);
+        this->state.apply(release_runs{made.releases, this->unix_ms});
+        for (const assign_runs& each : made.assignments) {
+            REQUIRE(this->state.apply(each) == job_verdict::accepted);
+        }
+        return made;
+    }
+
+    void pass(milliseconds by)
+    {
+        this->time.advance(by);
+        this->unix_ms += by.count();
+    }
+
+    void end(const run_id& run, run_end how)
+    {
+        const worker_incarnation worker = this->state.find(run.task)->worker;
+        const listed_end listed{this->state.recorded_ends(worker) + 1, run, how, ""};
+        this->decisions.note_end(worker, listed);
+        this->state.apply(record_ends{worker, {listed}, this->unix_ms});
+    }
+
+    /// One worker, which another account's ordinary run fills for half a second.
+    run_id lend_a_worker()
+    {
+        this->add_worker("a", "r1");
+        this->submit("borrower", "batch", 1, 8, false, false, "other");
+        this->decide();
+        const run_id borrower{{"borrower", 0, 0, 0}, 1};
+        this->report("a", {{borrower, "", 0}});
+        this->pass(milliseconds(500));
+        return borrower;
+    }
+
+    [[nodiscard]] std::set<std::string> workers_of(const std::string& job) const
+    {
+        std::set<std::string> found;
+        for (const auto& [worker, runs] : this->state.assigned_runs()) {
+            for (const run_id& run : runs) {
+                if (run.task.job == job) {
+                    found.insert(worker.id);
+                }
+            }
+        }
+        return found;
+    }
+
+    manual_clock time;
+    std::int64_t unix_ms = 1'000'000;
+    job_state state;
+    scheduler decisions;
+    std::map<std::string, worker_description> workers;
+};
+
+} // namespace redwingwheel::jobs
