Send large HTTP responses apart from Pistache

Cause: when a response does not fit into the send buffer, Pistache's transport busy-waits until the client has read enough, and its other connections wait as long. Ruled out: frames between the daemons (trace lines on a scratch copy show that 82 KB are replicated and read), the size limits, the parsing of the body. /proc shows one thread of the operator's server at 100%, in user time. Change: responses over 8 KiB are sent by response_writer, on a duplicate of the descriptor, with a limit on the time without progress. A planned stop waits for them. Responses that follow on the same connection keep their order. Test: a slow reader of 8 MiB; failed before with 0.40 s of processor time in 0.40 s and a second client without answer.

--- a/src/libhttp/http_server.cpp
+++ b/src/libhttp/http_server.cpp
@@ -15,6 +15,8 @@
 #include <spdlog/spdlog.h>
 #include <sys/socket.h>
 
+#include "response_writer.h"
+
 namespace redwingwheel::http {
 
 namespace {
@@ -23,6 +25,11 @@
 constexpr std::chrono::hours keepalive_timeout{1};
 constexpr std::chrono::seconds header_timeout{10};
 constexpr std::chrono::seconds body_timeout{60};
+/// Larger responses are not left to Pistache. A response of this size fits into the send buffer of
+/// a connection on which nothing else waits.
+constexpr std::size_t max_pistache_response_bytes = std::size_t{8} * 1024;
+/// A client that takes no further bytes of a response for this long is disconnected.
+constexpr milliseconds write_timeout{20'000};
 
 std::string lower_case(std::string text)
 {
@@ -69,6 +76,7 @@
     /// Responses carry "Connection: Close".
     bool closing = false;
     std::size_t abandoned = 0;
+    response_writer_loop writer_loop;
 };
 
 /// State of a connection in addition to the one that Pistache keeps.
@@ -77,6 +85,8 @@
     std::atomic<bool> response_pending{false};
     /// Further input is dropped; the connection is closed after the pending response.
     std::atomic<bool> input_closed{false};
+    /// Sends large responses; null until there is one. Guarded by `shared_state::lock`.
+    std::shared_ptr<response_writer> writer;
 };
 
 /// Shuts down the sending side. The client then closes the connection, which frees the descriptor.
@@ -112,9 +122,16 @@
             return false;
         }
         this->responded = true;
-        --this->state->open_requests;
         const bool reachable =
             !this->state->stopped && this->state->connected.contains(this->peer_id);
+        const bool is_large = response.body.size() > max_pistache_response_bytes;
+        const bool follows_large =
+            this->connection->writer != nullptr && !this->connection->writer->idle();
+        if (reachable && (is_large || follows_large)) {
+            this->write_large(response);
+            return true;
+        }
+        --this->state->open_requests;
         if (reachable) {
             this->write(response);
         }
@@ -126,6 +143,11 @@
     }
 
 private:
+    [[nodiscard]] bool keeps_connection() const
+    {
+        return this->keep_alive && !this->connection->input_closed && !this->state->closing;
+    }
+
     void write(const server_response& response)
     {
         Pistache::Http::Header::Collection& headers = this->writer.headers();
@@ -133,11 +155,9 @@
             headers.add(std::make_shared<named_header>(name, value));
         }
         headers.add(std::make_shared<named_header>("Content-Type", response.content_type));
-        const bool keep =
-            this->keep_alive && !this->connection->input_closed && !this->state->closing;
         headers.add<Pistache::Http::Header::Connection>(
-            keep ? Pistache::Http::ConnectionControl::KeepAlive
-                 : Pistache::Http::ConnectionControl::Close);
+            this->keeps_connection() ? Pistache::Http::ConnectionControl::KeepAlive
+                                     : Pistache::Http::ConnectionControl::Close);
         // The next request is read only after this response is in the queue.
         this->connection->response_pending = false;
         // No continuation is attached to the promise that send returns: Pistache resolves the
@@ -146,6 +166,42 @@
         this->writer.send(static_cast<Pistache::Http::Code>(response.status), response.body);
     }
 
+    /// The request counts as open until the response is sent, so that a planned stop waits for it.
+    void write_large(const server_response& response)
+    {
+        if (this->connection->writer == nullptr) {
+            this->connection->writer = std::make_shared<response_writer>(
+                this->state->writer_loop.context(), this->writer.peer()->fd(), write_timeout);
+        }
+        this->connection->response_pending = false;
+        this->connection->writer->send(
+            this->serialize(response), [observed = std::weak_ptr(this->state)](bool sent) {
+                const std::shared_ptr<shared_state> owner = observed.lock();
+                if (owner == nullptr) {
+                    return;
+                }
+                const std::lock_guard<std::mutex> guard(owner->lock);
+                --owner->open_requests;
+                owner->abandoned += sent ? 0 : 1;
+                owner->idle.notify_all();
+            });
+    }
+
+    [[nodiscard]] std::string serialize(const server_response& response) const
+    {
+        std::string bytes = fmt::format(
+            "HTTP/1.1 {} {}\r\n", response.status,
+            Pistache::Http::codeString(static_cast<Pistache::Http::Code>(response.status)));
+        for (const auto& [name, value] : response.headers) {
+            bytes += fmt::format("{}: {}\r\n", name, value);
+        }
+        bytes +=
+            fmt::format("Content-Type: {}\r\nConnection: {}\r\nContent-Length: {}\r\n\r\n",
+                        response.content_type, this->keeps_connection() ? "Keep-Alive" : "Close",
+                        response.body.size());
+        return bytes + response.body;
+    }
+
     std::shared_ptr<shared_state> state;
     std::shared_ptr<connection_state> connection;
     Pistache::Http::ResponseWriter writer;
@@ -388,6 +444,7 @@
         this->impl->endpoint->shutdown();
         this->impl->endpoint.reset();
     }
+    this->impl->state->writer_loop.stop();
 }
 
 std::size_t server::open_requests() const
--- a/src/libhttp/http_test.cpp
+++ b/src/libhttp/http_test.cpp
@@ -1,6 +1,7 @@
 #include "redwingwheel/http_client.h"
 
 #include <atomic>
+#include <ctime>
 #include <future>
 #include <thread>
 #include <vector>
@@ -202,6 +203,38 @@
     REQUIRE(test.server.open_requests() == 0);
 }
 
+// Guards against a transport that busy-waits for a client with a full receive window, and against a
+// large response that is cut off: other clients are served meanwhile, and the whole body arrives.
+TEST_CASE("a large response to a slow reader arrives whole and uses no processor time", "[http]")
+{
+    const std::string body(std::size_t{8} * 1024 * 1024, 'r');
+    http::server server(
+        {}, [&body](const http::server_request& request, const http::responder& respond) {
+            respond({200, "text/plain", request.path == "/large" ? body : "small", {}});
+        });
+    const wire::address address = free_address();
+    REQUIRE(server.start(address).ok());
+    asio::io_context context;
+    tcp::socket raw(context);
+    raw.open(tcp::v4());
+    raw.set_option(asio::socket_base::receive_buffer_size(8 * 1024));
+    raw.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), address.port));
+    asio::write(raw, asio::buffer(std::string("GET /large HTTP/1.1\r\nHost: a\r\n\r\n")));
+
+    const std::clock_t before = std::clock();
+    std::this_thread::sleep_for(milliseconds(400));
+    const double used_s = static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC;
+    CHECK(used_s < 0.1);
+    http::client other({});
+    CHECK(get(other, address, "/x", milliseconds(3000))->body == "small");
+
+    asio::streambuf received;
+    const std::size_t header_bytes = asio::read_until(raw, received, "\r\n\r\n");
+    const std::size_t read_with_header = received.size() - header_bytes;
+    asio::read(raw, received, asio::transfer_exactly(body.size() - read_with_header));
+    REQUIRE(received.size() == header_bytes + body.size());
+}
+
 // Guards against a client that takes up all connections of a server.
 TEST_CASE("connections over the limit are refused until another one is closed", "[http]")
 {
--- /dev/null
+++ b/src/libhttp/response_writer.cpp
@@ -0,0 +1,114 @@
+#include "response_writer.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace redwingwheel::http {
+
+namespace asio = boost::asio;
+
+response_writer_loop::~response_writer_loop()
+{
+    this->stop();
+}
+
+void response_writer_loop::stop()
+{
+    this->io.stop();
+    if (this->thread.joinable()) {
+        this->thread.join();
+    }
+}
+
+asio::io_context& response_writer_loop::context()
+{
+    if (!this->thread.joinable()) {
+        this->thread = std::thread([this] { this->io.run(); });
+    }
+    return this->io;
+}
+
+response_writer::response_writer(asio::io_context& loop, int descriptor, milliseconds timeout)
+    : socket(loop), timer(loop), progress_timeout(timeout)
+{
+    const int duplicate = ::dup(descriptor);
+    boost::system::error_code error;
+    this->socket.assign(asio::ip::tcp::v4(), duplicate, error);
+    if (error && duplicate >= 0) {
+        ::close(duplicate);
+    }
+    this->failed = static_cast<bool>(error);
+}
+
+response_writer::~response_writer()
+{
+    for (const response& each : this->queue) {
+        each.done(false);
+    }
+}
+
+void response_writer::send(std::string bytes, std::function<void(bool sent)> done)
+{
+    ++this->unsent;
+    const std::shared_ptr<response_writer> self = this->shared_from_this();
+    asio::post(this->socket.get_executor(),
+               [self, bytes = std::move(bytes), done = std::move(done)]() mutable {
+                   self->queue.push_back({std::move(bytes), std::move(done)});
+                   if (self->failed) {
+                       self->finish_front(false);
+                   }
+                   else if (self->queue.size() == 1) {
+                       self->write_some();
+                   }
+               });
+}
+
+void response_writer::write_some()
+{
+    this->start_timer();
+    const std::shared_ptr<response_writer> self = this->shared_from_this();
+    this->socket.async_write_some(
+        asio::buffer(this->queue.front().bytes) + this->offset,
+        [self](const boost::system::error_code& error, std::size_t bytes) {
+            self->timer.cancel();
+            if (error) {
+                self->failed = true;
+                while (!self->queue.empty()) {
+                    self->finish_front(false);
+                }
+                return;
+            }
+            self->offset += bytes;
+            if (self->offset == self->queue.front().bytes.size()) {
+                self->finish_front(true);
+            }
+            if (!self->queue.empty()) {
+                self->write_some();
+            }
+        });
+}
+
+void response_writer::start_timer()
+{
+    this->timer.expires_after(this->progress_timeout);
+    const std::weak_ptr<response_writer> observed = this->weak_from_this();
+    this->timer.async_wait([observed](const boost::system::error_code& error) {
+        const std::shared_ptr<response_writer> self = observed.lock();
+        if (!error && self != nullptr) {
+            ::shutdown(self->socket.native_handle(), SHUT_RDWR);
+        }
+    });
+}
+
+void response_writer::finish_front(bool sent)
+{
+    const response finished = std::move(this->queue.front());
+    this->queue.pop_front();
+    this->offset = 0;
+    --this->unsent;
+    finished.done(sent);
+}
+
+} // namespace redwingwheel::http
