Accept configurations of 5,000 queues, and name the limit to those over it

Cause: a command of the log was limited to 1 MiB while operators could send 4 MiB, so a configuration of 5,000 routes (1.1 MB) passed the gateway, was rejected by the log as too large and answered as unavailable, for ever. Test: the refusal of a large body names the limit; failed before by its text.

--- a/src/include/redwingwheel/replication.h
+++ b/src/include/redwingwheel/replication.h
@@ -42,7 +42,7 @@
     /// Maximum append messages with entries that a follower has not answered yet.
     std::size_t max_in_flight_messages = 4;
     std::size_t max_snapshot_chunk_bytes = 512 * 1024;
-    std::size_t max_command_bytes = 1024 * 1024;
+    std::size_t max_command_bytes = std::size_t{3} * 1024 * 1024;
     /// Maximum proposals that are queued or not committed yet; further ones fail with `busy`.
     std::size_t max_uncommitted_entries = 50'000;
     /// For tests only.
--- a/src/libhttp/http_server.cpp
+++ b/src/libhttp/http_server.cpp
@@ -281,13 +281,17 @@
             return;
         }
         if (!this->register_connection(*peer)) {
-            this->reject(peer, *connection, Pistache::Http::Code::Service_Unavailable);
+            this->reject(peer, *connection, Pistache::Http::Code::Service_Unavailable,
+                         fmt::format("more than {} connections are open",
+                                     this->state->options.max_connections));
             return;
         }
         const std::shared_ptr<Pistache::Http::RequestParser> parser = getParser(peer);
         try {
             if (!parser->feed(buffer, size)) {
-                this->reject(peer, *connection, Pistache::Http::Code::Request_Entity_Too_Large);
+                this->reject(peer, *connection, Pistache::Http::Code::Request_Entity_Too_Large,
+                             fmt::format("the request is larger than {} bytes",
+                                         this->state->options.max_request_bytes));
                 return;
             }
             if (parser->parse() != Pistache::Http::Private::State::Done) {
@@ -301,11 +305,13 @@
             parser->reset();
         }
         catch (const Pistache::Http::HttpError& error) {
-            this->reject(peer, *connection, static_cast<Pistache::Http::Code>(error.code()));
+            this->reject(peer, *connection, static_cast<Pistache::Http::Code>(error.code()),
+                         "the request cannot be read");
         }
         catch (const std::exception& error) {
-            spdlog::warn("event=http_request_refused error=\"{}\"", error.what());
-            this->reject(peer, *connection, Pistache::Http::Code::Bad_Request);
+            spdlog::warn("event=http_request_unreadable error=\"{}\"", error.what());
+            this->reject(peer, *connection, Pistache::Http::Code::Bad_Request,
+                         "the request cannot be read");
         }
     }
 
@@ -343,15 +349,17 @@
 
     /// Sends an error response and closes the connection.
     void reject(const std::shared_ptr<Pistache::Tcp::Peer>& peer, connection_state& connection,
-                Pistache::Http::Code code)
+                Pistache::Http::Code code, std::string_view reason)
     {
+        spdlog::warn("event=http_request_refused status={} reason=\"{}\"", static_cast<int>(code),
+                     reason);
         connection.input_closed = true;
         Pistache::Http::ResponseWriter writer(Pistache::Http::Version::Http11, this->transport(),
                                               this, peer);
         writer.headers().add<Pistache::Http::Header::Connection>(
             Pistache::Http::ConnectionControl::Close);
         writer
-            .send(code, R"({"outcome":"not_run","reason":"the request cannot be read"})")
+            .send(code, fmt::format(R"({{"outcome":"not_run","reason":"{}"}})", reason))
             // Safe here: this runs on the transport's thread, the only one that resolves the
             // promise.
             .then([peer](ssize_t) { shut_down_sending(*peer); }, Pistache::Async::NoExcept);
--- a/src/libhttp/http_test.cpp
+++ b/src/libhttp/http_test.cpp
@@ -203,6 +203,24 @@
     REQUIRE(test.server.open_requests() == 0);
 }
 
+// Guards against a refusal that leaves an operator without a hint why a large document is refused.
+TEST_CASE("the refusal of a large body names the limit", "[http]")
+{
+    delaying_server test;
+    asio::io_context context;
+    tcp::socket raw(context);
+    raw.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), test.address.port));
+    const std::size_t limit = delaying_server::options().max_request_bytes;
+    asio::write(raw, asio::buffer(fmt::format("POST /x HTTP/1.1\r\nContent-Length: {}\r\n\r\n{}",
+                                              limit, std::string(limit, 'a'))));
+    asio::streambuf received;
+    asio::read_until(raw, received, "\"}");
+    const std::string response(asio::buffers_begin(received.data()),
+                               asio::buffers_end(received.data()));
+    CHECK(response.find(" 413 ") != std::string::npos);
+    CHECK(response.find(fmt::format("larger than {} bytes", limit)) != std::string::npos);
+}
+
 // Guards against a transport that busy-waits for a client with a full receive window, and against a
 // large response that is cut off: other clients are served meanwhile, and the whole body arrives.
 TEST_CASE("a large response to a slow reader arrives whole and uses no processor time", "[http]")
