Refuse jobs that are not well-formed where the log is applied

Cause: only the gateway checked a job. A job without steps, or with a step that depends on itself or on one that does not exist, from a gateway of another version or with a defect, made the leader read beyond its steps (undefined behaviour when the submission is logged), and every replica that applies or schedules the entry, again after each restart. Ruled out: the platform's decoder refuses such jobs (codec_test); run ends and releases are checked against the job. Change: is_well_formed() is checked when the leader takes the call and when the entry is applied; the caller gets 400. Test: five malformed jobs change nothing in the state; with the check taken out all ten checks fail.

--- a/src/include/redwingwheel/job_state.h
+++ b/src/include/redwingwheel/job_state.h
@@ -165,7 +165,8 @@
     unknown_job,
     conflicting_version, ///< The installed configuration has this version but other content.
     no_configuration,
-    stale, ///< Does not apply to the current state; nothing was changed.
+    stale,       ///< Does not apply to the current state; nothing was changed.
+    invalid_job, ///< The definition is not well-formed; nothing was changed.
 };
 
 /// State machine of the jobs. Deterministic: the same commands in the same order result in the same
@@ -247,6 +248,11 @@
     std::map<worker_incarnation, std::set<run_id>> runs_by_worker;
 };
 
+/// True when there is at least one step, each step has tasks and requires no negative resources, and
+/// depends only on earlier steps. Gateways check more than this; the log is checked again, because
+/// every replica would fail on the same entry.
+[[nodiscard]] bool is_well_formed(const job_definition& definition);
+
 /// True when all tasks of the steps before `step` are done.
 [[nodiscard]] bool is_ready(const job_definition& definition, const occurrence_record& occurrence,
                             std::uint32_t step);
--- a/src/libjobs/job_state.cpp
+++ b/src/libjobs/job_state.cpp
@@ -43,6 +43,22 @@
 
 } // namespace
 
+bool is_well_formed(const job_definition& definition)
+{
+    for (std::size_t step = 0; step < definition.steps.size(); ++step) {
+        const step_definition& each = definition.steps[step];
+        const bool depends_on_earlier_steps =
+            std::all_of(each.depends_on.begin(), each.depends_on.end(),
+                        [step](std::uint32_t earlier) { return earlier < step; });
+        const resources& need = each.per_task;
+        if (each.tasks == 0 || !depends_on_earlier_steps || need.cpu_millis < 0 ||
+            need.memory_mb < 0 || need.accelerators < 0) {
+            return false;
+        }
+    }
+    return !definition.steps.empty();
+}
+
 bool is_ready(const job_definition& definition, const occurrence_record& occurrence,
               std::uint32_t step)
 {
@@ -87,6 +103,9 @@
     if (this->replicated.jobs.contains(command.id)) {
         return command_result::accepted;
     }
+    if (!is_well_formed(command.definition)) {
+        return command_result::invalid_job;
+    }
     const queue_definition* const queue = this->find_queue(command.host, command.path);
     if (queue == nullptr) {
         return this->replicated.configuration.version == 0 ? command_result::no_configuration
--- a/src/libjobs/job_state_test.cpp
+++ b/src/libjobs/job_state_test.cpp
@@ -296,3 +296,25 @@
     CHECK(std::get<assign_runs>(*read).runs[0].worker == worker_a);
     CHECK_FALSE(unpack_job_command("x").ok());
 }
+
+// Guards against one malformed job in the log that takes down every replica that applies it, and
+// every leader that schedules it.
+TEST_CASE("a job definition that is not well-formed is refused and changes nothing")
+{
+    job_definition no_steps;
+    job_definition no_tasks = make_job(0, false);
+    job_definition depends_on_itself = make_job(1, false);
+    depends_on_itself.steps[0].depends_on = {0};
+    job_definition depends_on_missing_step = make_job(1, false);
+    depends_on_missing_step.steps[0].depends_on = {7};
+    job_definition negative = make_job(1, false);
+    negative.steps[0].per_task.accelerators = -1;
+    for (const job_definition& definition :
+         {no_steps, no_tasks, depends_on_itself, depends_on_missing_step, negative}) {
+        job_state state;
+        state.apply(install_configuration{make_configuration(1)});
+        const std::string before = state.pack_snapshot();
+        CHECK(state.apply(submission(definition)) == command_result::invalid_job);
+        CHECK(state.pack_snapshot() == before);
+    }
+}
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -53,6 +53,8 @@
         return "no_configuration";
     case command_result::stale:
         return "stale";
+    case command_result::invalid_job:
+        return "invalid_job";
     }
     return "unknown";
 }
@@ -389,7 +391,10 @@
 
 void scheduler_service::serve_submit(const messages::job_call& call, const answer_function& answer)
 {
-    const command_result result = this->check_caller(call);
+    command_result result = this->check_caller(call);
+    if (result == command_result::accepted && !is_well_formed(call.definition)) {
+        result = command_result::invalid_job;
+    }
     if (result != command_result::accepted) {
         spdlog::info("event=job_refused job={} reason={} configuration={}", call.job,
                      command_result_name(result), this->state.configuration().version);
