Keep waits of jobs apart from the wall clock and from earlier terms

Cause 1: how long a job has waited, and whether it is late, were differences of the leader's wall clock. A step ahead by some seconds spread guaranteed gangs over racks at once (they then take three times as long) and made waiting jobs count as worthless; a step back kept a guaranteed gang from starting within its bound. Now the due time is taken over to the steady clock when the leader first sees the job. A new leader knew only some workers, so that no rack seemed large enough, and the wait under the earlier leader counted. Now a gang is not spread before the workers had 1 s to report, and the wait for a rack counts from the start of the term. Found beside it: the largest declared duration would overflow the sum of times on the steady clock; spans are limited to a year. Tests: four, of which those for the clock (both directions, and lateness) and the new leader failed before; that for the largest duration came with the change.

--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -68,6 +68,9 @@
     /// A guaranteed gang waits this long for a single rack before it is spread over several. Leaves
     /// enough time to start within the 2.7 s that are required for guaranteed work.
     milliseconds rack_wait_limit{1500};
+    /// All supervisors in contact poll a new leader within this time. Until then workers that have
+    /// not reported may still be able to hold a gang in one rack.
+    milliseconds report_timeout{1000};
     /// Resources are reserved for an ordinary gang that has waited this long.
     milliseconds gang_reservation_delay{1500};
     /// A run that is expected to end within this time is not evicted, since stopping it takes as
@@ -196,6 +199,7 @@
         double expected_remaining_ms = 0.0; ///< Until the last run is expected to end.
         bool ends_soon = false;             ///< Not stopped, since it is expected to end soon.
     };
+    using occurrence_id = std::pair<std::string, std::uint32_t>; ///< Job and occurrence.
     struct eviction_plan {
         std::vector<std::size_t> victim_indices; ///< Positions in the list of candidates.
         std::vector<victim> victims;             ///< Copies of these candidates.
@@ -207,8 +211,10 @@
     struct scheduling_round;
 
     void record_duration(const run_id& run);
+    void update_due_times(const scheduling_round& round);
     void update_waiting_since(const scheduling_round& round,
                               const std::vector<pending_step>& waiting);
+    [[nodiscard]] bool workers_had_time_to_report(const scheduling_round& round) const;
     [[nodiscard]] bool rack_wait_expired(const scheduling_round& round,
                                          const pending_step& pending) const;
     void remove_ended_entries();
@@ -283,6 +289,8 @@
     /// Ids of the workers on which a task has failed or stalled.
     std::map<task_id, std::set<std::string>> failed_on;
     std::map<task_id, reservation> reservations;
+    /// When the occurrences of the open jobs were due.
+    std::map<occurrence_id, steady_time> due_times;
     /// When each pending step began to wait. A step whose runs were lost begins to wait anew.
     std::map<task_id, steady_time> waiting_since;
     /// By name of the queue.
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds exclusion_after_refusal{300};
 /// Suspect workers are excluded only while at most one in this many workers is suspect.
 constexpr std::size_t workers_per_suspect = 3;
+/// Ages and objectives beyond this do not influence decisions; keeps sums of times in range.
+constexpr milliseconds max_time_span = std::chrono::hours(24 * 365);
 /// The result of a job has no value when the job takes longer than this multiple of its objective.
 constexpr std::int64_t no_value_after_objectives = 3;
 
@@ -40,6 +42,7 @@
     this->failed_on.clear();
     this->reservations.clear();
     this->waiting_since.clear();
+    this->due_times.clear();
     this->leading_since = this->clock();
 }
 
@@ -152,11 +155,12 @@
     this->compute_available_resources(round);
     this->collect_active_reservations(round);
     round.guaranteed = this->guaranteed_jobs();
+    this->update_due_times(round);
     std::vector<pending_step> waiting = this->pending_steps(round);
     this->update_waiting_since(round, waiting);
     const auto key = [](const pending_step& each) {
         return std::make_tuple(each.urgency_class, each.lateness, each.job->priority,
-                               each.objective_unix_ms);
+                               each.objective);
     };
     std::stable_sort(waiting.begin(), waiting.end(),
                      [&key](const pending_step& left, const pending_step& right) {
@@ -168,6 +172,25 @@
     return std::move(round.result);
 }
 
+/// Converts the due time of each occurrence to the steady clock when this leader first sees it, so
+/// that later steps of the wall clock change neither how long it has waited nor its objective.
+void scheduler::update_due_times(const scheduling_round& round)
+{
+    std::map<occurrence_id, steady_time> due;
+    for (const auto& [id, job] : this->state.jobs()) {
+        if (job.ended()) {
+            continue;
+        }
+        for (const auto& [number, occurrence] : job.open_occurrences) {
+            const auto known = this->due_times.find({id, number});
+            const milliseconds age(std::clamp<std::int64_t>(
+                round.now_unix_ms - occurrence.due_unix_ms, 0, max_time_span.count()));
+            due[{id, number}] = known == this->due_times.end() ? round.now - age : known->second;
+        }
+    }
+    this->due_times = std::move(due);
+}
+
 void scheduler::update_waiting_since(const scheduling_round& round,
                                      const std::vector<pending_step>& waiting)
 {
@@ -259,10 +282,12 @@
         if (job.ended()) {
             continue;
         }
-        const std::int64_t critical_path = this->critical_path_ms(job);
-        const std::int64_t allowed_ms =
-            static_cast<std::int64_t>(job.stretch * static_cast<double>(critical_path)) +
-            job.latency_target_ms;
+        const milliseconds critical_path =
+            std::min(milliseconds(this->critical_path_ms(job)), max_time_span);
+        const double objective_ms = job.stretch * static_cast<double>(critical_path.count()) +
+                                    static_cast<double>(job.latency_target_ms);
+        const milliseconds allowed(static_cast<std::int64_t>(
+            std::clamp(objective_ms, 0.0, static_cast<double>(max_time_span.count()))));
         for (const auto& [number, occurrence] : job.open_occurrences) {
             for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                 const step_record& record = occurrence.steps[step];
@@ -282,13 +307,13 @@
                         pending.waiting_tasks.push_back(index);
                     }
                 }
-                pending.due_unix_ms = occurrence.due_unix_ms;
-                pending.objective_unix_ms = occurrence.due_unix_ms + allowed_ms;
-                const std::int64_t delay_ms =
-                    round.now_unix_ms + critical_path - pending.objective_unix_ms;
-                pending.lateness = delay_ms <= 0                                             ? 0
-                                   : delay_ms < (no_value_after_objectives - 1) * allowed_ms ? 1
-                                                                                             : 2;
+                pending.due = this->due_times.at({id, number});
+                pending.objective = pending.due + allowed;
+                const steady_time expected_end = round.now + critical_path;
+                const steady_time worthless = pending.due + no_value_after_objectives * allowed;
+                pending.lateness = expected_end <= pending.objective ? 0
+                                   : expected_end < worthless        ? 1
+                                                                     : 2;
                 if (job.priority == 0) {
                     pending.urgency_class =
                         round.guaranteed.contains(id) ? urgency::guaranteed : urgency::urgent;
--- a/src/libjobs/scheduler_eviction.cpp
+++ b/src/libjobs/scheduler_eviction.cpp
@@ -33,11 +33,12 @@
     placement_request request;
     request.step = &pending.definition();
     request.tasks = static_cast<std::uint32_t>(pending.waiting_tasks.size());
-    const milliseconds waited(round.now_unix_ms - pending.due_unix_ms);
-    request.allow_any_rack =
-        !fits_when_empty(request, round.availability) || this->rack_wait_expired(round, pending);
+    const milliseconds waited = std::chrono::duration_cast<milliseconds>(round.now - pending.due);
+    const bool never_fits =
+        this->workers_had_time_to_report(round) && !fits_when_empty(request, round.availability);
+    request.allow_any_rack = never_fits || this->rack_wait_expired(round, pending);
     request.allow_remote_data =
-        !fits_when_empty(request, round.availability) ||
+        never_fits ||
         waited >= milliseconds(std::max<std::int64_t>(pending.definition().estimate_ms, 1000)) ||
         pending.urgency_class == urgency::guaranteed;
     const std::vector<std::size_t> worker_indices = find_placement(request, round.availability);
@@ -62,9 +63,16 @@
     restore_reservations(round, pending);
 }
 
+/// A new leader knows only the workers that have reported to it.
+bool scheduler::workers_had_time_to_report(const scheduling_round& round) const
+{
+    return round.now >= this->leading_since + this->options.report_timeout;
+}
+
 /// True when a guaranteed gang has waited long enough for a single rack. Before the first start the
-/// time counts from when the step was due, as in the requirement for guaranteed work. After a lost
-/// run it counts anew, because waiting costs less time than a run across racks.
+/// time counts from when the step was due, as in the requirement for guaranteed work, but not from
+/// before this leader's term. After a lost run it counts anew, because waiting costs less time than
+/// a run across racks.
 bool scheduler::rack_wait_expired(const scheduling_round& round, const pending_step& pending) const
 {
     if (pending.urgency_class != urgency::guaranteed) {
@@ -74,10 +82,14 @@
         pending.job->open_occurrences.at(pending.occurrence).steps[pending.step];
     const bool has_started = std::any_of(record.tasks.begin(), record.tasks.end(),
                                          [](const task_record& task) { return task.last_run > 0; });
-    const milliseconds since_due(round.now_unix_ms - pending.due_unix_ms);
+    const milliseconds since_due =
+        std::chrono::duration_cast<milliseconds>(round.now - pending.due);
     const milliseconds since_waiting =
         std::chrono::duration_cast<milliseconds>(round.now - this->waiting_since.at(pending.id()));
-    return (has_started ? since_waiting : since_due) >= this->options.rack_wait_limit;
+    const milliseconds since_term =
+        std::chrono::duration_cast<milliseconds>(round.now - this->leading_since);
+    return (has_started ? since_waiting : std::min(since_due, since_term)) >=
+           this->options.rack_wait_limit;
 }
 
 /// Reserves the resources that are expected to be free first for a gang that has waited long.
--- a/src/libjobs/scheduler_round.h
+++ b/src/libjobs/scheduler_round.h
@@ -15,8 +15,8 @@
     urgency urgency_class = urgency::ordinary;
     /// 0: can still meet its objective; 1: late; 2: so late that it no longer has any value.
     int lateness = 0;
-    std::int64_t objective_unix_ms = 0;
-    std::int64_t due_unix_ms = 0;
+    steady_time objective;
+    steady_time due;
 
     [[nodiscard]] const step_definition& definition() const
     {
--- a/src/libjobs/scheduler_test.cpp
+++ b/src/libjobs/scheduler_test.cpp
@@ -1,3 +1,5 @@
+#include <limits>
+
 #include "scheduler_world.h"
 
 using namespace redwingwheel;
@@ -156,3 +158,93 @@
     const std::set<std::string> chosen = w.workers_of("gang");
     CHECK(chosen == std::set<std::string>{"a", "d"});
 }
+
+// Failure: just after a change of leader, when few workers have reported, a gang is spread over
+// racks because no rack seems to be large enough or because of the time that it waited without a
+// leader.
+TEST_CASE("a gang is not spread over racks before the workers had time to report to a new leader")
+{
+    world w;
+    w.add_worker("a", "r1");
+    w.add_worker("b", "r1");
+    w.add_worker("c", "r2");
+    w.submit("gang", "urgent", 2, 8, true, true);
+    w.advance_time(milliseconds(2500));
+    w.decisions.begin_leadership();
+    w.report("a");
+    w.report("c");
+    CHECK(w.decide().assignments.empty());
+    w.advance_time(milliseconds(200));
+    w.report("b");
+    w.decide();
+    CHECK(w.workers_of("gang") == std::set<std::string>{"a", "b"});
+}
+
+// Failure: a step of the leader's wall clock counts as time that jobs have waited. Ahead, a
+// guaranteed gang is spread over racks at once; back, it waits for a single rack for longer than
+// allowed.
+TEST_CASE("a step of the wall clock does not change how long a gang waits for a single rack")
+{
+    for (const std::int64_t step_ms : {4000, -4000}) {
+        world w;
+        w.add_worker("a", "r1");
+        w.add_worker("b", "r1");
+        w.add_worker("c", "r2");
+        w.advance_time(milliseconds(2000));
+        const auto report_all = [&w] {
+            for (const char* const id : {"a", "b", "c"}) {
+                w.report(id);
+            }
+        };
+        report_all();
+        w.submit("running", "urgent", 1, 8);
+        w.decide();
+        REQUIRE_FALSE(w.workers_of("running").contains("c"));
+        step_definition step;
+        step.tasks = 2;
+        step.gang = true;
+        step.same_rack = true;
+        step.estimate_ms = 5000;
+        step.per_worker_limit = 1;
+        step.per_task = {1000, 1000, 4};
+        w.submit_step("gang", "urgent", step);
+        CHECK(w.decide().assignments.empty());
+        w.unix_ms += step_ms;
+        CHECK(w.decide().assignments.empty());
+        w.advance_time(milliseconds(1600));
+        report_all();
+        w.decide();
+        CHECK(w.workers_of("gang").size() == 2);
+    }
+}
+
+// Failure: after a step of the wall clock ahead, jobs that wait are taken for too late to have any
+// value, and jobs that arrive later are placed before them.
+TEST_CASE("a step of the wall clock does not make a waiting job late")
+{
+    world w;
+    const run_id borrower = w.add_worker_with_borrower();
+    w.submit("first", "batch", 1, 8, false, false, "key", 1000);
+    CHECK(w.decide().assignments.empty());
+    w.unix_ms += 60'000;
+    w.submit("second", "batch", 1, 8, false, false, "key", 5000);
+    w.end_run(borrower, run_outcome::done);
+    w.decide();
+    CHECK(w.workers_of("first").size() == 1);
+}
+
+// Failure: the largest declared duration overflows the sum of times, and the job is never placed or
+// is placed before all others.
+TEST_CASE("a job with the largest declared duration is placed after one with an earlier objective")
+{
+    world w;
+    w.add_worker("a", "r1");
+    w.submit("endless", "batch", 1, 8, false, false, "key",
+             std::numeric_limits<std::int64_t>::max() / 4);
+    w.submit("short", "batch", 1, 8);
+    w.decide();
+    CHECK(w.workers_of("short").size() == 1);
+    w.end_run({{"short", 0, 0, 0}, 1}, run_outcome::done);
+    w.decide();
+    CHECK(w.workers_of("endless").size() == 1);
+}
--- a/src/libjobs/scheduler_world.h
+++ b/src/libjobs/scheduler_world.h
@@ -46,13 +46,19 @@
                 std::int64_t accelerators, bool gang = false, bool same_rack = false,
                 const std::string& key = "key", std::int64_t estimate_ms = 5000)
     {
-        job_definition job;
         step_definition step;
         step.tasks = tasks;
         step.gang = gang;
         step.same_rack = same_rack;
         step.estimate_ms = estimate_ms;
         step.per_task = {1000, 1000, accelerators};
+        this->submit_step(id, queue, step, key);
+    }
+
+    void submit_step(const std::string& id, const std::string& queue, const step_definition& step,
+                     const std::string& key = "key")
+    {
+        job_definition job;
         job.steps = {step};
         REQUIRE(this->state.apply(submit_job{id, "h", "/" + queue + "/" + id, key, job,
                                              this->unix_ms}) == command_result::accepted);
