--- a/src/include/redwingwheel/job_state.h
+++ b/src/include/redwingwheel/job_state.h
@@ -248,9 +248,9 @@
     std::map<worker_incarnation, std::set<run_id>> runs_by_worker;
 };
 
-/// True when there is at least one step, each step has tasks and requires no negative resources, and
-/// depends only on earlier steps. Gateways check more than this; the log is checked again, because
-/// every replica would fail on the same entry.
+/// True when there is at least one step, each step has tasks and requires no negative resources,
+/// and depends only on earlier steps. Gateways check more than this; the log is checked again,
+/// because every replica would fail on the same entry.
 [[nodiscard]] bool is_well_formed(const job_definition& definition);
 
 /// True when all tasks of the steps before `step` are done.
