--- a/src/include/redwingwheel/replication.h
+++ b/src/include/redwingwheel/replication.h
@@ -23,6 +23,10 @@
     bool skip_vote_persistence = false; ///< Does not save the term and the vote to storage.
 };
 
+/// Largest command that a replica takes by default. An entry of this size and its envelope fit into
+/// one transport frame.
+inline constexpr std::size_t default_max_command_bytes = std::size_t{3} * 1024 * 1024;
+
 struct replica_options {
     /// Address at which other replicas reach this one, and its data centre.
     std::string address;
@@ -42,7 +46,7 @@
     /// Maximum append messages with entries that a follower has not answered yet.
     std::size_t max_in_flight_messages = 4;
     std::size_t max_snapshot_chunk_bytes = 512 * 1024;
-    std::size_t max_command_bytes = std::size_t{3} * 1024 * 1024;
+    std::size_t max_command_bytes = default_max_command_bytes;
     /// Maximum proposals that are queued or not committed yet; further ones fail with `busy`.
     std::size_t max_uncommitted_entries = 50'000;
     /// For tests only.
--- a/src/libhttp/http_server.cpp
+++ b/src/libhttp/http_server.cpp
@@ -74,7 +74,7 @@
     /// Responses carry "Connection: Close".
     bool closing = false;
     std::size_t abandoned = 0;
-    response_writer_loop writer_loop;
+    std::shared_ptr<response_writer_loop> writer_loop = std::make_shared<response_writer_loop>();
 };
 
 /// State of a connection in addition to the one that Pistache keeps.
@@ -83,6 +83,8 @@
     std::atomic<bool> response_pending{false};
     /// Further input is dropped; the connection is closed after the pending response.
     std::atomic<bool> input_closed{false};
+    /// The loop of `writer`, which must not outlive it.
+    std::shared_ptr<response_writer_loop> writer_loop;
     /// Sends large responses; null until there is one. Guarded by `shared_state::lock`.
     std::shared_ptr<response_writer> writer;
 };
@@ -168,8 +170,9 @@
     void write_large(const server_response& response)
     {
         if (this->connection->writer == nullptr) {
+            this->connection->writer_loop = this->state->writer_loop;
             this->connection->writer = std::make_shared<response_writer>(
-                this->state->writer_loop.context(), this->writer.peer()->fd());
+                this->state->writer_loop->context(), this->writer.peer()->fd());
         }
         this->connection->response_pending = false;
         this->connection->writer->send(
@@ -450,7 +453,7 @@
         this->impl->endpoint->shutdown();
         this->impl->endpoint.reset();
     }
-    this->impl->state->writer_loop.stop();
+    this->impl->state->writer_loop->stop();
 }
 
 std::size_t server::open_requests() const
--- a/src/libhttp/http_test.cpp
+++ b/src/libhttp/http_test.cpp
@@ -253,6 +253,65 @@
     REQUIRE(received.size() == header_bytes + body.size());
 }
 
+// Guards against a planned stop that cuts off a large response.
+TEST_CASE("a shutdown waits until a large response is sent", "[http]")
+{
+    const std::string body(std::size_t{8} * 1024 * 1024, 'r');
+    http::server server({}, [&body](const http::server_request&, const http::responder& respond) {
+        respond({200, "text/plain", body, {}});
+    });
+    const wire::address address = free_address();
+    REQUIRE(server.start(address).ok());
+    asio::io_context context;
+    tcp::socket raw(context);
+    raw.open(tcp::v4());
+    raw.set_option(asio::socket_base::receive_buffer_size(8 * 1024));
+    raw.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), address.port));
+    asio::write(raw, asio::buffer(std::string("GET /large HTTP/1.1\r\nHost: a\r\n\r\n")));
+    asio::streambuf received;
+    const std::size_t header_bytes = asio::read_until(raw, received, "\r\n\r\n");
+    std::future<std::size_t> open_requests = std::async(std::launch::async, [&server] {
+        return server.wait_until_idle(deadline_after(milliseconds(10'000)));
+    });
+    CHECK(open_requests.wait_for(milliseconds(200)) == std::future_status::timeout);
+    asio::read(raw, received, asio::transfer_exactly(header_bytes + body.size() - received.size()));
+    raw.close();
+    CHECK(open_requests.get() == 0);
+    CHECK(server.abandoned_requests() == 0);
+}
+
+// Guards against the rest of a large response that is sent over the next connection with the same
+// descriptor, and against requests that stay open after their client has gone.
+TEST_CASE("a client that disconnects during a large response affects no other client", "[http]")
+{
+    const std::string body(std::size_t{8} * 1024 * 1024, 'r');
+    http::server server(
+        {}, [&body](const http::server_request& request, const http::responder& respond) {
+            respond({200, "text/plain", request.path == "/large" ? body : request.path, {}});
+        });
+    const wire::address address = free_address();
+    REQUIRE(server.start(address).ok());
+    for (int round = 0; round < 20; ++round) {
+        asio::io_context context;
+        tcp::socket raw(context);
+        raw.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), address.port));
+        asio::write(raw, asio::buffer(std::string("GET /large HTTP/1.1\r\nHost: a\r\n\r\n")));
+        asio::streambuf received;
+        asio::read_until(raw, received, "\r\n\r\n");
+        raw.close();
+        http::client other({});
+        const std::string path = fmt::format("/small-{}", round);
+        const absl::StatusOr<http::client_response> response =
+            get(other, address, path, milliseconds(3000));
+        REQUIRE(response.ok());
+        CHECK(response->body == path);
+    }
+    for (int wait = 0; wait < 100 && server.open_requests() > 0; ++wait) {
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    CHECK(server.open_requests() == 0);
+}
+
 // Guards against a client that takes up all connections of a server.
 TEST_CASE("connections over the limit are refused until another one is closed", "[http]")
 {
--- a/src/libhttp/response_writer.cpp
+++ b/src/libhttp/response_writer.cpp
@@ -102,7 +102,9 @@
     const std::weak_ptr<response_writer> observed = this->weak_from_this();
     this->progress_timer.async_wait([observed](const boost::system::error_code& error) {
         const std::shared_ptr<response_writer> self = observed.lock();
-        if (!error && self != nullptr) {
+        // The timer may have expired just before it was set anew or cancelled.
+        if (!error && self != nullptr && !self->queue.empty() &&
+            boot_clock::now() >= self->progress_timer.expiry()) {
             ::shutdown(self->socket.native_handle(), SHUT_RDWR);
         }
     });
