Split request_flow.cpp by job: claims and recovery of answers

Change: the claim of a non-idempotent request and the fetching or revoking of an attempt that may have run are moved, unchanged but for one digest that was written out twice; the entry's status codes stand in the header. Ruled out: a change of behaviour; 42 tests of entry, requests, HTTP and the end-to-end cases that use it pass.

--- a/src/libentry/request_flow.cpp
+++ b/src/libentry/request_flow.cpp
@@ -6,7 +6,6 @@
 #include <nlohmann/json.hpp>
 #include <spdlog/spdlog.h>
 
-#include "redwingwheel/digest.h"
 #include "redwingwheel/packing.h"
 
 namespace redwingwheel::entry {
@@ -18,22 +17,9 @@
 /// Recording continues after the caller's deadline, so that a resend with the same key gets the
 /// recorded answer.
 constexpr milliseconds record_timeout{5000};
-constexpr milliseconds claim_timeout{2000};
-constexpr milliseconds fetch_timeout{500};
-constexpr milliseconds fetch_interval{100};
-/// Time for a claimed attempt to arrive at its agent. Another entry may have claimed it and not
-/// sent it yet.
-constexpr milliseconds arrival_timeout{500};
 /// Time for an agent's answer to reach this entry; the deadline sent to the agent is earlier by it.
 constexpr milliseconds return_latency{2};
 
-constexpr int status_conflict = 409;
-constexpr int status_gone = 410;
-constexpr int status_key_reused = 422;
-constexpr int status_bad_gateway = 502;
-constexpr int status_unavailable = 503;
-constexpr int status_timeout = 504;
-
 std::uint64_t draw_attempt()
 {
     static thread_local std::mt19937_64 engine(std::random_device{}());
@@ -44,14 +30,6 @@
     return drawn;
 }
 
-absl::StatusOr<messages::claim_reply> read_claim(const absl::StatusOr<std::string>& body)
-{
-    if (!body.ok()) {
-        return body.status();
-    }
-    return unpack<messages::claim_reply>(*body);
-}
-
 } // namespace
 
 request_flow::request_flow(entry_service& service, caller_request request,
@@ -107,29 +85,6 @@
     this->respond_error(status_unavailable, "not_run", reason);
 }
 
-void request_flow::look_up_claim(std::string_view reason)
-{
-    const messages::look_up_claim lookup{this->incoming.account, this->incoming.key,
-                                         this->payload_digest()};
-    const std::shared_ptr<request_flow> self = this->shared_from_this();
-    const steady_time call_deadline =
-        std::min(this->incoming.deadline, boot_clock::now() + claim_timeout);
-    this->owner.control.call(
-        messages::kind::look_up_claim, pack(lookup), call_deadline,
-        [self, text = std::string(reason)](const absl::StatusOr<std::string>& body) {
-            const absl::StatusOr<messages::claim_reply> result = read_claim(body);
-            if (!result.ok()) {
-                self->respond_control_unreachable();
-            }
-            else if (result->verdict == request::claim_verdict::granted) {
-                self->respond_error(status_unavailable, "not_run", text);
-            }
-            else {
-                self->on_claim_not_granted(*result);
-            }
-        });
-}
-
 void request_flow::respond_control_unreachable()
 {
     this->respond_error(
@@ -154,111 +109,6 @@
                  routing.chosen.has_value() ? routing.chosen->data_centre : "none", candidates);
 }
 
-std::uint64_t request_flow::payload_digest() const
-{
-    return digest::content_hash(
-        fmt::format("{}\n{}", this->incoming.service.name, this->incoming.body));
-}
-
-void request_flow::begin_claim()
-{
-    request::begin_claim begin;
-    begin.account = this->incoming.account;
-    begin.key = this->incoming.key;
-    begin.payload_digest = digest::content_hash(
-        fmt::format("{}\n{}", this->incoming.service.name, this->incoming.body));
-    begin.attempt = this->current.attempt;
-    begin.worker = this->current.choice.worker;
-    begin.incarnation = this->current.choice.incarnation;
-    const std::shared_ptr<request_flow> self = this->shared_from_this();
-    const steady_time call_deadline =
-        std::min(this->incoming.deadline, boot_clock::now() + claim_timeout);
-    this->owner.control.call(
-        messages::kind::claim, request::pack_command(begin), call_deadline,
-        [self](const absl::StatusOr<std::string>& body) { self->on_claim_reply(body); });
-}
-
-void request_flow::reassign_claim(std::uint64_t previous_attempt)
-{
-    request::reassign_claim reassignment;
-    reassignment.former_attempt = previous_attempt;
-    reassignment.attempt = this->current.attempt;
-    reassignment.worker = this->current.choice.worker;
-    reassignment.incarnation = this->current.choice.incarnation;
-    const std::shared_ptr<request_flow> self = this->shared_from_this();
-    this->owner.control.call(
-        messages::kind::claim, request::pack_command(reassignment), this->incoming.deadline,
-        [self](const absl::StatusOr<std::string>& body) { self->on_claim_reply(body); });
-}
-
-void request_flow::on_claim_reply(const absl::StatusOr<std::string>& body)
-{
-    using verdict = request::claim_verdict;
-    const absl::StatusOr<messages::claim_reply> reply_message = read_claim(body);
-    if (!reply_message.ok()) {
-        this->respond_control_unreachable();
-        return;
-    }
-    if (reply_message->verdict == verdict::granted) {
-        this->has_claim = true;
-        this->send();
-        return;
-    }
-    this->on_claim_not_granted(*reply_message);
-}
-
-void request_flow::on_claim_not_granted(const messages::claim_reply& result)
-{
-    using verdict = request::claim_verdict;
-    switch (result.verdict) {
-    case verdict::in_progress:
-        this->fetch_attempt_answer(result.attempt, result.worker, result.incarnation);
-        return;
-    case verdict::answered:
-        if (result.recorded.empty() || !result.body_kept) {
-            this->respond_error(status_gone, "done",
-                                "the work ran; its answer was too large to keep");
-            return;
-        }
-        this->current.choice.worker = result.worker;
-        this->answer_caller(result.recorded.front());
-        return;
-    case verdict::conflict:
-        this->respond_error(status_key_reused, "not_run", "the key was used with another request");
-        return;
-    case verdict::unknown:
-        this->respond_error(status_timeout, "unknown",
-                            "an earlier attempt with this key may have run");
-        return;
-    case verdict::expired:
-        this->respond_error(status_gone, "unknown",
-                            "the key is older than the records that are kept");
-        return;
-    case verdict::issued_in_future:
-    case verdict::malformed_key:
-        this->respond_error(400, "not_run",
-                            "Idempotency-Key: allowed <unix seconds>-<rest>, not in the "
-                            "future");
-        return;
-    case verdict::worker_gone:
-    case verdict::attempt_in_use:
-        this->excluded.push_back(this->current.choice.worker);
-        this->start_next_attempt();
-        return;
-    case verdict::stale:
-        // Another entry has moved the claim; beginning it again returns its present state.
-        this->has_claim = false;
-        this->begin_claim();
-        return;
-    case verdict::full:
-        this->respond_error(status_unavailable, "not_run", "too many claims are recorded");
-        return;
-    default:
-        this->respond_error(status_conflict, "unknown",
-                            fmt::format("claim: {}", request::to_string(result.verdict)));
-    }
-}
-
 void request_flow::send()
 {
     wire::rpc_client* const agent = this->owner.agent_client(this->current.choice.worker);
@@ -408,120 +258,6 @@
     this->record_and_answer(answer);
 }
 
-void request_flow::fetch_attempt_answer(std::uint64_t attempt, const std::string& worker,
-                                        std::uint64_t incarnation)
-{
-    const steady_time now = boot_clock::now();
-    if (now >= this->incoming.deadline) {
-        this->respond_error(status_timeout, "unknown",
-                            "the work may still run; send the request again with the same key");
-        return;
-    }
-    wire::rpc_client* const agent = this->owner.agent_client(worker);
-    const std::shared_ptr<request_flow> self = this->shared_from_this();
-    if (agent == nullptr) {
-        this->owner.loop.run_at(now + fetch_interval, [self, attempt, worker, incarnation] {
-            self->fetch_attempt_answer(attempt, worker, incarnation);
-        });
-        return;
-    }
-    kernel::control_loop& loop = this->owner.loop;
-    agent->call(static_cast<std::uint16_t>(messages::kind::fetch_answer),
-                pack(messages::fetch_answer{attempt, incarnation}),
-                std::min(this->incoming.deadline, now + fetch_timeout),
-                [self, &loop, attempt, worker, incarnation](absl::StatusOr<std::string> body) {
-                    loop.post([self, attempt, worker, incarnation, body = std::move(body)] {
-                        self->on_fetched(attempt, worker, incarnation, body);
-                    });
-                });
-}
-
-void request_flow::on_fetched(std::uint64_t attempt, const std::string& worker,
-                              std::uint64_t incarnation, const absl::StatusOr<std::string>& body)
-{
-    using fetch_state = messages::fetched_answer::fetch_state;
-    const absl::StatusOr<messages::fetched_answer> fetched =
-        body.ok() ? unpack<messages::fetched_answer>(*body)
-                  : absl::StatusOr<messages::fetched_answer>(body.status());
-    if (!fetched.ok() || fetched->state == fetch_state::running) {
-        const std::shared_ptr<request_flow> self = this->shared_from_this();
-        this->owner.loop.run_at(boot_clock::now() + fetch_interval,
-                                [self, attempt, worker, incarnation] {
-                                    self->fetch_attempt_answer(attempt, worker, incarnation);
-                                });
-        return;
-    }
-    if (fetched->state == fetch_state::never_seen) {
-        this->on_never_seen(attempt, worker, incarnation);
-        return;
-    }
-    this->current.attempt = attempt;
-    this->current.choice.worker = worker;
-    if (fetched->state == fetch_state::finished &&
-        request::check_answer(fetched->answer, attempt).ok()) {
-        if (fetched->answer.outcome == request::outcome_kind::not_run) {
-            this->has_claim = true;
-            this->on_attempt_ended(fetched->answer, request::end_cause::refused);
-            return;
-        }
-        this->record_and_answer(fetched->answer);
-        return;
-    }
-    this->record_and_answer(request::make_bodyless_answer(attempt, request::outcome_kind::unknown,
-                                                          "the worker that ran it has restarted"));
-}
-
-void request_flow::on_never_seen(std::uint64_t attempt, const std::string& worker,
-                                 std::uint64_t incarnation)
-{
-    const steady_time now = boot_clock::now();
-    if (!this->never_seen_since.has_value()) {
-        this->never_seen_since = now;
-    }
-    if (now >= *this->never_seen_since + arrival_timeout) {
-        this->revoke_attempt(attempt, worker, incarnation);
-        return;
-    }
-    const std::shared_ptr<request_flow> self = this->shared_from_this();
-    this->owner.loop.run_at(now + fetch_interval, [self, attempt, worker, incarnation] {
-        self->fetch_attempt_answer(attempt, worker, incarnation);
-    });
-}
-
-void request_flow::revoke_attempt(std::uint64_t attempt, const std::string& worker,
-                                  std::uint64_t incarnation)
-{
-    // The attempt has not arrived. After the agent has revoked it, it can never start there.
-    wire::rpc_client* const agent = this->owner.agent_client(worker);
-    if (agent == nullptr) {
-        this->fetch_attempt_answer(attempt, worker, incarnation);
-        return;
-    }
-    const std::shared_ptr<request_flow> self = this->shared_from_this();
-    kernel::control_loop& loop = this->owner.loop;
-    agent->call(static_cast<std::uint16_t>(messages::kind::cancel_attempt),
-                pack(messages::cancel_attempt{attempt, true}), boot_clock::now() + fetch_timeout,
-                [self, &loop, attempt, worker, incarnation](absl::StatusOr<std::string> body) {
-                    loop.post([self, attempt, worker, incarnation, body = std::move(body)] {
-                        const absl::StatusOr<messages::cancel_answer> answer =
-                            body.ok() ? unpack<messages::cancel_answer>(*body)
-                                      : absl::StatusOr<messages::cancel_answer>(body.status());
-                        const bool revoked =
-                            answer.ok() && answer->never_runs && answer->incarnation == incarnation;
-                        if (!revoked) {
-                            self->fetch_attempt_answer(attempt, worker, incarnation);
-                            return;
-                        }
-                        self->current.attempt = attempt;
-                        self->has_claim = true;
-                        self->on_attempt_ended(
-                            request::make_bodyless_answer(attempt, request::outcome_kind::not_run,
-                                                          "the attempt did not reach its worker"),
-                            request::end_cause::not_sent);
-                    });
-                });
-}
-
 void request_flow::record_and_answer(const request::answer& answer)
 {
     if (!this->needs_claim()) {
--- a/src/libentry/request_flow.h
+++ b/src/libentry/request_flow.h
@@ -11,6 +11,19 @@
 
 namespace redwingwheel::entry {
 
+/// HTTP status of the responses that the entry makes itself.
+inline constexpr int status_conflict = 409;
+inline constexpr int status_gone = 410;
+inline constexpr int status_key_reused = 422;
+inline constexpr int status_bad_gateway = 502;
+inline constexpr int status_unavailable = 503;
+inline constexpr int status_timeout = 504;
+
+/// Reads the control leader's reply to a message about a claim. Passes on the error of a call that
+/// failed.
+[[nodiscard]] absl::StatusOr<messages::claim_reply>
+read_claim(const absl::StatusOr<std::string>& body);
+
 /// A caller's request to a service, authenticated and checked.
 struct caller_request {
     std::string account;
