--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 comma := ,
 BUILD := build$(if $(SANITIZE),-$(subst $(comma),-,$(SANITIZE)))
 
-.PHONY: all packages configure build test run bench faults soak format lint check
+.PHONY: all packages configure build test run bench faults soak regress format lint check
 
 all: build
 
@@ -40,6 +40,10 @@
 soak: build
 	@src/build-scripts/soak.sh $(BUILD)/bin $(SECONDS) $(SEED) $(SEEDS)
 
+# Days of the users' deployments on their bench; FLEETBENCH and SYSTEM are paths, SITES may be empty.
+regress:
+	@src/build-scripts/regress.sh "$(FLEETBENCH)" "$(SYSTEM)" $(SITES)
+
 bench: build
 	@src/build-scripts/bench.sh $(BUILD)/bin $(BUILD)/bench
 
