Log why a run is given up and when a permit ends

Cause of this change: the logs could not tell the hypotheses apart. run_given_up said worker_lost in all cases. Change: run_given_up says whether the incarnation has ended or the permit has expired, and how long ago; worker_ended says on which evidence; supervisors log permit_obtained, permit_expired and runs that the worker lists without an order. Ruled out: nothing yet; no decision changes.

--- a/src/include/redwingwheel/job_messages.h
+++ b/src/include/redwingwheel/job_messages.h
@@ -25,7 +25,8 @@
     jobs::worker_incarnation worker;
     /// Ended runs that it listed and that the leader is not known to have recorded.
     std::vector<jobs::ended_run> ended_runs;
-    MSGPACK_DEFINE(worker, ended_runs)
+    std::string evidence; ///< How the supervisor learned of the end, for the log.
+    MSGPACK_DEFINE(worker, ended_runs, evidence)
 };
 
 /// Long poll of a supervisor. The leader answers when the orders for the worker have changed, or at
--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -143,6 +143,13 @@
     /// Records that the incarnation of the worker has ended: nothing runs on it any more.
     void record_worker_end(const worker_incarnation& worker);
 
+    /// True when the incarnation is known to have ended.
+    [[nodiscard]] bool has_ended(const worker_incarnation& worker) const;
+
+    /// Time since the last permit that this leader gave to the worker has expired; negative while
+    /// it is valid. Permits of an earlier leader count as given when this one took over.
+    [[nodiscard]] milliseconds time_since_permit(const worker_incarnation& worker) const;
+
     /// Records how a run ended, to tell faulty workers from faulty jobs.
     void record_run_end(const worker_incarnation& worker, const ended_run& end);
 
--- a/src/include/redwingwheel/supervisor.h
+++ b/src/include/redwingwheel/supervisor.h
@@ -75,7 +75,10 @@
         bool refused = false; ///< The run did not start and can no longer start.
     };
 
-    void begin_incarnation(const worker_incarnation& incarnation);
+    void begin_incarnation(const worker_incarnation& incarnation, std::string_view evidence);
+    void end_worker(std::string_view evidence);
+    void log_unordered_runs(const worker_listing& listing);
+    void log_permit(bool valid);
     void renew();
     void set_reachable(bool reachable);
     void on_renewal_failed(const absl::Status& status);
@@ -113,6 +116,7 @@
 
     std::uint64_t term = 0;
     steady_time permit_until;
+    bool permit_logged = false;
     bool has_orders = false;
     std::set<run_id> desired_runs;
     std::uint64_t orders_digest = 0;
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -95,6 +95,21 @@
     this->workers[worker].ended = true;
 }
 
+bool scheduler::has_ended(const worker_incarnation& worker) const
+{
+    const auto known = this->workers.find(worker);
+    return known != this->workers.end() && known->second.ended;
+}
+
+milliseconds scheduler::time_since_permit(const worker_incarnation& worker) const
+{
+    const auto known = this->workers.find(worker);
+    const steady_time permit_until =
+        std::max(this->leading_since + this->options.permit_lifetime,
+                 known == this->workers.end() ? steady_time() : known->second.permit_until);
+    return std::chrono::duration_cast<milliseconds>(this->clock() - permit_until);
+}
+
 void scheduler::record_run_end(const worker_incarnation& worker, const ended_run& end)
 {
     tracked_worker& known = this->workers[worker];
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -207,6 +207,14 @@
     // that is done as done.
     for (const messages::ended_incarnation& ended : poll->ended_incarnations) {
         this->propose_ended_runs(ended.worker, ended.ended_runs);
+        if (!this->job_scheduler.has_ended(ended.worker) &&
+            !this->state.runs_on(ended.worker).empty()) {
+            spdlog::info("event=worker_ended worker={} born={} host={} evidence={} runs={} "
+                         "permit_expired_ms={}",
+                         ended.worker.id, ended.worker.started_unix_ms, ended.worker.host,
+                         ended.evidence, this->state.runs_on(ended.worker).size(),
+                         this->job_scheduler.time_since_permit(ended.worker).count());
+        }
         this->job_scheduler.record_worker_end(ended.worker);
     }
     if (!poll->worker.incarnation.id.empty()) {
@@ -551,8 +559,13 @@
     };
     if (!made.releases.empty()) {
         for (const released_run& each : made.releases) {
-            spdlog::info("event=run_given_up job={} task={} run={} reason=worker_lost",
-                         each.run.task.job, format_task(each.run.task), each.run.number);
+            const worker_incarnation& worker = this->state.find(each.run.task)->worker;
+            spdlog::info("event=run_given_up job={} task={} run={} worker={} born={} reason={} "
+                         "permit_expired_ms={}",
+                         each.run.task.job, format_task(each.run.task), each.run.number, worker.id,
+                         worker.started_unix_ms,
+                         this->job_scheduler.has_ended(worker) ? "worker_ended" : "permit_expired",
+                         this->job_scheduler.time_since_permit(worker).count());
         }
         ++this->uncommitted_decisions;
         this->propose(release_runs{made.releases, unix_ms()}, on_committed);
--- a/src/libsupervisor/supervisor.cpp
+++ b/src/libsupervisor/supervisor.cpp
@@ -125,7 +125,7 @@
     const bool is_new =
         !this->worker.has_value() || this->worker->incarnation != announced.incarnation;
     if (is_new) {
-        this->begin_incarnation(announced.incarnation);
+        this->begin_incarnation(announced.incarnation, "announcement");
     }
     announced.reachable = is_new || this->worker->reachable;
     this->drain_deadline = this->clock() + milliseconds(announced.remaining_ms);
@@ -143,13 +143,15 @@
     }
 }
 
-void supervisor::begin_incarnation(const worker_incarnation& incarnation)
+void supervisor::begin_incarnation(const worker_incarnation& incarnation, std::string_view evidence)
 {
     if (this->worker.has_value()) {
-        spdlog::info("event=worker_replaced worker={} born={} new={} new_born={}",
+        spdlog::info("event=worker_replaced worker={} born={} new={} new_born={} evidence={} "
+                     "running={} permit={}",
                      this->worker->incarnation.id, this->worker->incarnation.started_unix_ms,
-                     incarnation.id, incarnation.started_unix_ms);
-        messages::ended_incarnation ended{this->worker->incarnation, {}};
+                     incarnation.id, incarnation.started_unix_ms, evidence, this->running.size(),
+                     this->has_permit());
+        messages::ended_incarnation ended{this->worker->incarnation, {}, std::string(evidence)};
         for (const auto& [number, end] : this->ended_runs) {
             if (number > this->last_recorded_end) {
                 ended.ended_runs.push_back(end);
@@ -181,9 +183,14 @@
     if (!this->worker.has_value() || this->worker->incarnation.id != id) {
         return;
     }
-    spdlog::info("event=worker_left worker={} born={}", id,
-                 this->worker->incarnation.started_unix_ms);
-    this->begin_incarnation({});
+    this->end_worker("deregistration");
+}
+
+void supervisor::end_worker(std::string_view evidence)
+{
+    spdlog::info("event=worker_left worker={} born={} evidence={}", this->worker->incarnation.id,
+                 this->worker->incarnation.started_unix_ms, evidence);
+    this->begin_incarnation({}, evidence);
     this->worker.reset();
     this->schedule_poll();
 }
@@ -210,6 +217,7 @@
         return;
     }
     this->renewing = true;
+    this->log_permit(this->has_permit());
     renew_request order;
     order.worker = this->worker->incarnation;
     order.fencing_token = this->term;
@@ -272,12 +280,44 @@
     // gives notice when it ends.
     if (this->worker->draining && this->clock() >= this->drain_deadline &&
         this->refused_renewals >= refusals_until_ended) {
-        this->worker_left(this->worker->incarnation.id);
+        this->end_worker("refused_connections");
+    }
+}
+
+/// Logs the runs that the worker lists although this process has not ordered them from this
+/// incarnation: runs of an earlier process of the supervisor, and orders for an earlier incarnation
+/// that were carried out late.
+void supervisor::log_unordered_runs(const worker_listing& listing)
+{
+    const bool first = !this->worker_clock.has_value();
+    for (const run_progress& each : listing.running) {
+        const bool known =
+            std::any_of(this->running.begin(), this->running.end(),
+                        [&each](const run_progress& earlier) { return earlier.run == each.run; });
+        if (!known && !this->starts.contains(each.run)) {
+            spdlog::info("event={} task={} worker={} born={} percent={}",
+                         first ? "run_found" : "run_not_ordered", format_run(each.run),
+                         this->worker->incarnation.id, this->worker->incarnation.started_unix_ms,
+                         each.percent);
+        }
+    }
+}
+
+/// Logs each change between a valid and an expired permit.
+void supervisor::log_permit(bool valid)
+{
+    if (this->permit_logged == valid || !this->worker.has_value()) {
+        return;
     }
+    this->permit_logged = valid;
+    spdlog::info("event={} worker={} born={} term={} running={}",
+                 valid ? "permit_obtained" : "permit_expired", this->worker->incarnation.id,
+                 this->worker->incarnation.started_unix_ms, this->term, this->running.size());
 }
 
 void supervisor::on_listing(const worker_listing& listing)
 {
+    this->log_unordered_runs(listing);
     if (!this->worker_clock.has_value()) {
         this->predecessor_deadline = listing.clock + this->options.start_window.count();
     }
