--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -153,15 +153,20 @@
     /// Records how a run ended, to tell faulty workers from faulty jobs.
     void record_run_end(const worker_incarnation& worker, const ended_run& end);
 
-    /// Records that the worker refused a start. It gets no new runs for a short time.
-    void record_refused_start(const worker_incarnation& worker);
+    /// Records that the worker refused the start of the run, which will not be ordered again. The
+    /// worker gets no new runs for a short time.
+    void record_refused_start(const worker_incarnation& worker, const run_id& run);
 
     /// Performs a scheduling round. `now_unix_ms` is the wall clock time of the leader.
     [[nodiscard]] schedule decide(std::int64_t now_unix_ms);
 
-    /// True when the run is assigned, its job has not ended and it is not being evicted.
+    /// True when the run is assigned, its job has not ended and it is neither being evicted nor
+    /// released.
     [[nodiscard]] bool should_run(const run_id& run) const;
 
+    /// True when the release of the run has been decided. It is part of no orders from then on.
+    [[nodiscard]] bool is_releasing(const run_id& run) const;
+
     /// True when the worker has listed the run since its assignment.
     [[nodiscard]] bool is_confirmed(const run_id& run) const;
 
@@ -293,6 +298,9 @@
     std::map<run_id, tracked_run> runs;
     /// Runs that are being stopped, with the reason.
     std::map<run_id, std::string> evicting;
+    /// Runs whose release has been decided and may not be committed yet. A supervisor that regains
+    /// contact in between must not start them.
+    std::set<run_id> releasing;
     /// Ids of the workers on which a task has failed or stalled.
     std::map<task_id, std::set<std::string>> failed_on;
     std::map<task_id, reservation> reservations;
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -39,6 +39,7 @@
     this->workers.clear();
     this->runs.clear();
     this->evicting.clear();
+    this->releasing.clear();
     this->failed_on.clear();
     this->reservations.clear();
     this->waiting_since.clear();
@@ -138,8 +139,9 @@
     this->durations[job->queue].add(job->definition.steps[run.task.step].estimate_ms, took.count());
 }
 
-void scheduler::record_refused_start(const worker_incarnation& worker)
+void scheduler::record_refused_start(const worker_incarnation& worker, const run_id& run)
 {
+    this->releasing.insert(run);
     this->workers[worker].excluded_until = this->clock() + exclusion_after_refusal;
 }
 
@@ -148,7 +150,12 @@
     const task_record* const task = this->state.find(run.task);
     const job_record* const job = this->state.find(run.task.job);
     return task != nullptr && task->phase == task_phase::assigned && task->last_run == run.number &&
-           !job->ended() && !this->evicting.contains(run);
+           !job->ended() && !this->evicting.contains(run) && !this->releasing.contains(run);
+}
+
+bool scheduler::is_releasing(const run_id& run) const
+{
+    return this->releasing.contains(run);
 }
 
 bool scheduler::is_confirmed(const run_id& run) const
@@ -226,6 +233,7 @@
     };
     std::erase_if(this->runs, [&is_over](const auto& each) { return is_over(each.first); });
     std::erase_if(this->evicting, [&is_over](const auto& each) { return is_over(each.first); });
+    std::erase_if(this->releasing, is_over);
     std::erase_if(this->failed_on,
                   [this](const auto& each) { return this->state.find(each.first) == nullptr; });
     std::erase_if(this->reservations,
--- a/src/libjobs/scheduler_runs.cpp
+++ b/src/libjobs/scheduler_runs.cpp
@@ -31,6 +31,7 @@
             continue;
         }
         for (const run_id& run : on_worker) {
+            this->releasing.insert(run);
             const auto progress = this->runs.find(run);
             round.result.releases.push_back(
                 {run, progress == this->runs.end() ? "" : progress->second.checkpoint});
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -279,7 +279,7 @@
         if (!this->proposed_releases.emplace(each.run, now).second) {
             continue;
         }
-        this->job_scheduler.record_refused_start(poll.worker.incarnation);
+        this->job_scheduler.record_refused_start(poll.worker.incarnation, each.run);
         this->metrics.add("starts_refused_total", fmt::format("reason=\"{}\"", each.reason));
         spdlog::info("event=start_refused job={} task={} run={} worker={} reason={}",
                      each.run.task.job, format_task(each.run.task), each.run.number,
@@ -306,6 +306,9 @@
     made.last_recorded_end = this->state.last_recorded_end(worker);
     std::vector<run_id> unconfirmed;
     for (const run_id& run : this->state.runs_on(worker)) {
+        if (this->job_scheduler.is_releasing(run)) {
+            continue;
+        }
         if (!this->job_scheduler.should_run(run)) {
             made.withdrawn.push_back(run);
             continue;
