--- a/src/include/redwingwheel/job_messages.h
+++ b/src/include/redwingwheel/job_messages.h
@@ -26,16 +26,26 @@
     /// Ended runs that it listed and that the leader is not known to have recorded.
     std::vector<jobs::ended_run> ended_runs;
     std::string evidence; ///< How the supervisor learned of the end, for the log.
-    MSGPACK_DEFINE(worker, ended_runs, evidence)
+    bool crashed = false; ///< It ended without notice while its supervisor was watching it.
+    /// Runs that may have been running at the end: listed last, or ordered and not known to be
+    /// refused.
+    std::vector<jobs::run_id> runs_at_end;
+    MSGPACK_DEFINE(worker, ended_runs, evidence, crashed, runs_at_end)
 };
 
 /// Long poll of a supervisor. The leader answers when the orders for the worker have changed, or at
 /// the end of the maximum poll duration.
 struct worker_poll {
     std::string supervisor;
+    /// Drawn at random by each process of the supervisor.
+    std::uint64_t process = 0;
     /// Incremented with every poll; starts anew with the supervisor's process.
     std::uint64_t sequence = 0;
     jobs::worker_description worker;
+    /// The fencing token under which the worker has listed its runs; 0: none.
+    std::uint64_t fencing_token = 0;
+    /// Announced incarnations that the worker has not confirmed yet and that need a fencing token.
+    std::vector<jobs::worker_incarnation> unconfirmed;
     std::vector<jobs::run_progress> running;
     /// Ended runs that the leader is not known to have recorded.
     std::vector<jobs::ended_run> ended_runs;
@@ -44,7 +54,7 @@
     /// Digest of the orders in the last answer that the supervisor received; 0 when there is none.
     std::uint64_t orders_digest = 0;
     MSGPACK_DEFINE(supervisor, sequence, worker, running, ended_runs, refused_starts,
-                   ended_incarnations, orders_digest)
+                   ended_incarnations, orders_digest, process, fencing_token, unconfirmed)
 };
 
 struct start_order {
@@ -54,9 +64,21 @@
     MSGPACK_DEFINE(run, payload, checkpoint)
 };
 
+/// Fencing token for the orders of a supervisor's process to an incarnation of its worker.
+struct issued_token {
+    jobs::worker_incarnation worker;
+    std::uint64_t token = 0;
+    MSGPACK_DEFINE(worker, token)
+};
+
 struct worker_poll_answer {
-    /// Term of the leader. Workers use it as a fencing token and reject orders of earlier terms.
-    std::uint64_t term = 0;
+    std::uint64_t term = 0; ///< Term of the leader.
+    /// Tokens for the unconfirmed incarnations, and for the worker when `has_orders` is false.
+    std::vector<issued_token> tokens;
+    /// False when the poll does not carry the worker's current fencing token, or has no worker:
+    /// there are no permit and no orders, and the other fields but `recorded_incarnations` are
+    /// unset.
+    bool has_orders = false;
     /// Lifetime of the permit to renew leases, from the time at which the poll was sent.
     std::uint64_t permit_ms = 0;
     /// Number of the last ended run of the worker that is recorded; 0: none.
@@ -72,7 +94,7 @@
     std::vector<jobs::worker_incarnation> recorded_incarnations;
     std::uint64_t orders_digest = 0;
     MSGPACK_DEFINE(term, permit_ms, last_recorded_end, desired_runs, starts, withdrawn,
-                   recorded_incarnations, orders_digest)
+                   recorded_incarnations, orders_digest, tokens, has_orders)
 };
 
 enum class job_operation : std::uint8_t {
--- a/src/include/redwingwheel/job_model.h
+++ b/src/include/redwingwheel/job_model.h
@@ -154,15 +154,9 @@
 struct worker_incarnation {
     std::string id;
     std::int64_t started_unix_ms = 0;
-    /// Name of the supervisor on the worker's host. A host runs one worker, so a later incarnation
-    /// on the host implies that this one has ended.
+    /// Name of the supervisor on the worker's host. A host runs one worker at a time.
     std::string host;
 
-    [[nodiscard]] bool is_superseded_by(const worker_incarnation& other) const
-    {
-        return (this->host == other.host || this->id == other.id) &&
-               this->started_unix_ms < other.started_unix_ms;
-    }
     friend bool operator==(const worker_incarnation&, const worker_incarnation&) = default;
     friend bool operator<(const worker_incarnation& left, const worker_incarnation& right)
     {
--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -134,7 +134,8 @@
     /// from now.
     void begin_leadership();
 
-    /// Records a worker's report from a poll of its supervisor.
+    /// Records a worker's report from a poll of its supervisor, which must be the latest report on
+    /// that host. A host runs one worker: all other incarnations on it have ended.
     void record_report(const worker_description& worker, const std::vector<run_progress>& running);
 
     /// Records that a permit is sent to the worker's supervisor, which is expected to poll again.
@@ -180,6 +181,7 @@
         /// When the last poll of its supervisor was answered; empty once the next poll has arrived.
         std::optional<steady_time> poll_answered_at;
         bool ended = false;
+        std::set<run_id> listed_runs; ///< Running according to the last report.
         steady_time suspect_until;
         steady_time excluded_until;
         std::uint32_t consecutive_failures = 0;
@@ -231,6 +233,7 @@
                                          const pending_step& pending) const;
     void remove_ended_entries();
     void release_runs_of_lost_workers(scheduling_round& round);
+    [[nodiscard]] bool is_listed_on_host(const run_id& run, std::string_view host) const;
     void stop_stalled(scheduling_round& round);
     void count_stall_as_failure(const scheduling_round& round, const run_id& run);
     [[nodiscard]] bool has_progressed_since(const worker_incarnation& worker,
--- a/src/include/redwingwheel/scheduler_service.h
+++ b/src/include/redwingwheel/scheduler_service.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "redwingwheel/fencing_tokens.h"
 #include "redwingwheel/group_service.h"
 #include "redwingwheel/job_messages.h"
 #include "redwingwheel/kernel.h"
@@ -31,6 +32,7 @@
         messages::worker_poll poll;
         answer_function answer;
         steady_time answer_deadline;
+        bool current = false; ///< The report on the worker is not outdated.
     };
 
     void apply(std::uint64_t index, const std::string& command);
@@ -44,6 +46,10 @@
     void release_refused_starts(const messages::worker_poll& poll);
     [[nodiscard]] messages::worker_poll_answer
     build_poll_answer(const worker_incarnation& worker) const;
+    [[nodiscard]] std::vector<worker_incarnation>
+    recorded_incarnations(const messages::worker_poll& poll) const;
+    [[nodiscard]] bool has_recorded_ends(const messages::worker_poll& poll) const;
+    [[nodiscard]] std::vector<messages::issued_token> issue_tokens(const waiting_poll& waiting);
     void answer_polls();
 
     void serve_call(const wire::incoming_request& request, const answer_function& answer);
@@ -63,6 +69,7 @@
     metrics::registry& metrics;
     job_state state;
     scheduler job_scheduler;
+    fencing_tokens tokens;
     /// Results of applied commands, by log index, until the proposer has taken them.
     std::map<std::uint64_t, command_result> results;
     /// By name of the supervisor.
--- a/src/include/redwingwheel/supervisor.h
+++ b/src/include/redwingwheel/supervisor.h
@@ -16,6 +16,8 @@
 
 struct supervisor_options {
     std::string name;
+    /// Distinguishes this process from earlier ones of the same supervisor.
+    std::uint64_t process = 0;
     /// Longest lease that the worker accepts.
     milliseconds max_lease{6000};
     /// Time within which the worker must receive a start order. It refuses the order afterwards.
@@ -24,6 +26,11 @@
     milliseconds renewal_wait{1000};
     /// Pause after a failed renewal or poll.
     milliseconds pause_after_failure{150};
+    /// Pause after a failed renewal of a worker that has deregistered.
+    milliseconds pause_after_deregistration{30};
+    /// An announced incarnation that the worker has not confirmed is forgotten after this time
+    /// without a further announcement. Covers several announcement intervals.
+    milliseconds unconfirmed_lifetime{5000};
     /// Time after which an unanswered start or stop is sent again.
     milliseconds retry_interval{400};
     /// Longest time for which the leader may hold a poll, plus a margin for the network.
@@ -40,6 +47,12 @@
 };
 
 /// Runs on the control thread.
+///
+/// Announcements and deregistrations may be lost, late or sent by others, so neither is proof that
+/// an incarnation of the worker has begun or ended. An announced incarnation replaces the current
+/// one only when the worker itself has listed its runs as this incarnation, under a fencing token
+/// that voids all orders that were sent before. A deregistered worker has ended once its host
+/// refuses connections.
 class supervisor {
 public:
     supervisor(const supervisor_options& options, clock_function clock, worker_port& port,
@@ -49,8 +62,9 @@
     /// incarnation; outdated announcements are ignored.
     void announce(worker_description worker, std::uint64_t sequence);
 
-    /// Handles the notice that the worker with this id shuts down. Ignored for other workers.
-    void worker_left(const std::string& id);
+    /// Handles the notice that the worker with this id shuts down. Ignored for other workers. The
+    /// worker gets no new runs from then on, unless it announces itself as ready again.
+    void worker_deregistered(std::string_view id);
 
     /// True while the leader permits the supervisor to renew leases and start runs.
     [[nodiscard]] bool has_permit() const;
@@ -75,12 +89,31 @@
         bool refused = false; ///< The run did not start and can no longer start.
     };
 
-    void begin_incarnation(const worker_incarnation& incarnation, std::string_view evidence);
-    void end_worker(std::string_view evidence);
+    /// An announced incarnation that the worker has not confirmed yet.
+    struct unconfirmed_worker {
+        worker_description description;
+        std::uint64_t sequence = 0;
+        steady_time drain_deadline;
+        steady_time expires_at;
+        std::uint64_t token = 0; ///< 0 until the leader has issued one.
+        bool listing = false;    ///< The worker was asked and has not answered yet.
+    };
+
+    void update_worker(worker_description announced, std::uint64_t sequence);
+    void add_unconfirmed(const worker_description& announced, std::uint64_t sequence);
+    void confirm(const worker_incarnation& incarnation);
+    void on_confirmation(const worker_incarnation& incarnation, std::uint64_t token,
+                         const absl::StatusOr<worker_listing>& listing);
+    void replace_worker(const unconfirmed_worker& confirmed, std::uint64_t token,
+                        const worker_listing& listing);
+    void end_incarnation(std::string_view evidence, bool crashed);
+    [[nodiscard]] std::vector<run_id> possibly_running() const;
+    void accept_token(const messages::issued_token& issued);
     void log_unordered_runs(const worker_listing& listing);
     void log_permit(bool valid);
     void renew();
     void set_reachable(bool reachable);
+    void on_renewal(std::uint64_t token, const absl::StatusOr<worker_listing>& listing);
     void on_renewal_failed(const absl::Status& status);
     void on_listing(const worker_listing& listing);
     void stop_unwanted();
@@ -92,6 +125,9 @@
     void check_stops(const worker_listing& listing);
     void schedule_poll();
     void send_poll();
+    void on_poll_result(const absl::StatusOr<messages::worker_poll_answer>& answer,
+                        const worker_incarnation& incarnation, std::uint64_t sequence,
+                        steady_time sent_at);
     void clear_recorded_ends(const std::vector<worker_incarnation>& recorded_incarnations);
     void on_poll_answer(const messages::worker_poll_answer& answer, steady_time sent_at);
     [[nodiscard]] std::optional<worker_time_ms> lease_limit() const;
@@ -102,8 +138,15 @@
     supervisor_hooks hooks;
     std::optional<worker_description> worker;
     std::uint64_t last_sequence = 0;
+    /// The worker has deregistered and has not announced itself as ready since.
+    bool deregistered = false;
+    std::map<worker_incarnation, unconfirmed_worker> unconfirmed;
     /// In the order in which they ended.
     std::vector<messages::ended_incarnation> ended_incarnations;
+    /// Token for orders to the worker; 0 while a new one is needed.
+    std::uint64_t fencing_token = 0;
+    /// Token under which the worker has listed its runs last.
+    std::uint64_t listed_token = 0;
 
     std::optional<worker_time_ms> worker_clock;
     steady_time worker_clock_read_at;
--- a/src/include/redwingwheel/worker_port.h
+++ b/src/include/redwingwheel/worker_port.h
@@ -22,7 +22,7 @@
     std::string payload;
     std::string checkpoint;
     worker_time_ms deadline = 0;     ///< The worker refuses the start after this time.
-    std::uint64_t fencing_token = 0; ///< Term of the leader that gave the order.
+    std::uint64_t fencing_token = 0; ///< The worker does nothing if it has seen a higher one.
 };
 
 enum class start_result : std::uint8_t {
@@ -30,7 +30,7 @@
     no_room,     ///< The resources are not available; nothing was done.
     too_late,    ///< The deadline had passed; nothing was done.
     outdated,    ///< A run of the task with this number or a higher one was stopped or has ended.
-    fenced,      ///< The worker has seen orders of a leader of a later term.
+    fenced,      ///< The worker has seen a higher fencing token; nothing was done.
     not_healthy, ///< The worker does not accept work; nothing was done.
     not_sent,    ///< No connection to the worker; nothing was sent.
     other_incarnation, ///< The order was for another incarnation; nothing was done.
@@ -45,6 +45,8 @@
     not_listening = 1, ///< The worker's host refused the connection: no process listens there.
     no_answer,         ///< The request may have been carried out.
     refused,           ///< The worker's answer is not a listing.
+    fenced,            ///< The worker has seen a higher fencing token; nothing was done.
+    other_incarnation, ///< The worker has another id; nothing was done.
 };
 
 [[nodiscard]] constexpr std::string_view error_layer(worker_errc)
@@ -57,13 +59,13 @@
 struct stop_request {
     worker_incarnation worker;
     run_id run;
-    std::uint64_t fencing_token = 0; ///< Term of the leader that gave the order.
+    std::uint64_t fencing_token = 0; ///< The worker does nothing if it has seen a higher one.
 };
 
 struct renew_request {
     worker_incarnation worker;
     worker_time_ms lease_until = 0;      ///< 0: the lease is not extended.
-    std::uint64_t fencing_token = 0;     ///< Term of the leader that gave the order.
+    std::uint64_t fencing_token = 0;     ///< The worker does nothing if it has seen a higher one.
     std::uint64_t last_recorded_end = 0; ///< The worker no longer lists ended runs up to this
                                          ///< number.
     milliseconds wait{0}; ///< Longest time until the worker answers, unless a run ends.
@@ -75,8 +77,6 @@
     worker_time_ms clock = 0;
     std::vector<run_progress> running;
     std::vector<ended_run> ended_runs;
-    /// The worker rejected the renewal because its fencing token was of an earlier term.
-    bool fenced = false;
 };
 
 /// Sends orders to the worker. Callbacks run on the control thread. An order without an answer may
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -51,16 +51,23 @@
                               const std::vector<run_progress>& running)
 {
     const steady_time now = this->clock();
+    const auto is_predecessor = [&worker](const worker_incarnation& other) {
+        return other.host == worker.incarnation.host && other != worker.incarnation;
+    };
     for (auto& [incarnation, other] : this->workers) {
-        other.ended |= incarnation.is_superseded_by(worker.incarnation);
+        other.ended |= is_predecessor(incarnation);
     }
     for (const auto& [incarnation, assigned] : this->state.assigned_runs()) {
-        if (incarnation.is_superseded_by(worker.incarnation)) {
+        if (is_predecessor(incarnation)) {
             this->workers[incarnation].ended = true;
         }
     }
     tracked_worker& known = this->workers[worker.incarnation];
     known.description = worker;
+    known.listed_runs.clear();
+    for (const run_progress& each : running) {
+        known.listed_runs.insert(each.run);
+    }
     known.permit_until = now + this->options.permit_lifetime;
     known.poll_answered_at.reset();
     for (const run_progress& each : running) {
--- a/src/libjobs/scheduler_runs.cpp
+++ b/src/libjobs/scheduler_runs.cpp
@@ -31,6 +31,9 @@
             continue;
         }
         for (const run_id& run : on_worker) {
+            if (ended && this->is_listed_on_host(run, worker.host)) {
+                continue;
+            }
             this->releasing.insert(run);
             const auto progress = this->runs.find(run);
             round.result.releases.push_back(
@@ -39,6 +42,16 @@
     }
 }
 
+/// True when a worker on the host lists the run as running. An order for an ended incarnation can
+/// be carried out by the next one with the same id; the supervisor stops such a run.
+bool scheduler::is_listed_on_host(const run_id& run, std::string_view host) const
+{
+    return std::any_of(this->workers.begin(), this->workers.end(), [&run, host](const auto& each) {
+        return each.first.host == host && !each.second.ended &&
+               each.second.listed_runs.contains(run);
+    });
+}
+
 void scheduler::stop_stalled(scheduling_round& round)
 {
     constexpr std::uint32_t finished_percent = 100;
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -163,6 +163,7 @@
     }
     this->polls.clear();
     if (leads) {
+        this->tokens.begin_term(new_term);
         this->job_scheduler.begin_leadership();
     }
 }
@@ -200,6 +201,11 @@
     }
     const auto earlier = this->polls.find(poll->supervisor);
     if (earlier != this->polls.end()) {
+        const messages::worker_poll& waiting = earlier->second.poll;
+        if (waiting.process == poll->process && waiting.sequence > poll->sequence) {
+            answer(absl::AbortedError("a newer poll has arrived"));
+            return;
+        }
         earlier->second.answer(absl::AbortedError("a newer poll has arrived"));
         this->polls.erase(earlier);
     }
@@ -217,14 +223,18 @@
         }
         this->job_scheduler.record_worker_end(ended.worker);
     }
-    if (!poll->worker.incarnation.id.empty()) {
+    const bool current = !poll->worker.incarnation.id.empty() &&
+                         this->tokens.accept_report(poll->supervisor, poll->process, poll->sequence,
+                                                    poll->worker.incarnation, poll->fencing_token);
+    if (current) {
         this->job_scheduler.record_report(poll->worker, poll->running);
     }
     this->propose_ended_runs(poll->worker.incarnation, poll->ended_runs);
     this->release_refused_starts(*poll);
     this->state_changed = true;
     const std::string supervisor = poll->supervisor;
-    this->polls[supervisor] = {*std::move(poll), answer, boot_clock::now() + max_poll_wait};
+    this->polls[supervisor] = {*std::move(poll), answer, boot_clock::now() + max_poll_wait,
+                               current};
 }
 
 void scheduler_service::propose_ended_runs(const worker_incarnation& worker,
@@ -300,7 +310,7 @@
 scheduler_service::build_poll_answer(const worker_incarnation& worker) const
 {
     messages::worker_poll_answer made;
-    made.term = this->term;
+    made.has_orders = true;
     made.permit_ms =
         static_cast<std::uint64_t>(this->job_scheduler.settings().permit_lifetime.count());
     made.last_recorded_end = this->state.last_recorded_end(worker);
@@ -326,26 +336,73 @@
     return made;
 }
 
+/// Returns the ended incarnations in the poll of which all ended runs are recorded.
+std::vector<worker_incarnation>
+scheduler_service::recorded_incarnations(const messages::worker_poll& poll) const
+{
+    std::vector<worker_incarnation> recorded;
+    for (const messages::ended_incarnation& ended : poll.ended_incarnations) {
+        if (ended.ended_runs.empty() ||
+            ended.ended_runs.back().number <= this->state.last_recorded_end(ended.worker)) {
+            recorded.push_back(ended.worker);
+        }
+    }
+    return recorded;
+}
+
+/// True when ended runs in the poll have been recorded since it was sent.
+bool scheduler_service::has_recorded_ends(const messages::worker_poll& poll) const
+{
+    return std::any_of(poll.ended_incarnations.begin(), poll.ended_incarnations.end(),
+                       [this](const messages::ended_incarnation& ended) {
+                           return !ended.ended_runs.empty() &&
+                                  ended.ended_runs.back().number <=
+                                      this->state.last_recorded_end(ended.worker);
+                       });
+}
+
+/// Issues tokens for the unconfirmed incarnations, and for the worker if its report is outdated.
+std::vector<messages::issued_token> scheduler_service::issue_tokens(const waiting_poll& waiting)
+{
+    const messages::worker_poll& poll = waiting.poll;
+    std::vector<worker_incarnation> needed = poll.unconfirmed;
+    const worker_incarnation& worker = poll.worker.incarnation;
+    if (!worker.id.empty() && !waiting.current &&
+        std::find(needed.begin(), needed.end(), worker) == needed.end()) {
+        needed.push_back(worker);
+    }
+    std::vector<messages::issued_token> issued;
+    for (const worker_incarnation& each : needed) {
+        issued.push_back({each, this->tokens.issue(poll.supervisor, poll.process, each)});
+        spdlog::info("event=token_issued supervisor={} process={:016x} worker={} born={} token={}",
+                     poll.supervisor, poll.process, each.id, each.started_unix_ms,
+                     issued.back().token);
+    }
+    return issued;
+}
+
 void scheduler_service::answer_polls()
 {
     const steady_time now = boot_clock::now();
     for (auto each = this->polls.begin(); each != this->polls.end();) {
         const waiting_poll& waiting = each->second;
         const worker_incarnation& worker = waiting.poll.worker.incarnation;
-        messages::worker_poll_answer made = this->build_poll_answer(worker);
-        if (made.orders_digest == waiting.poll.orders_digest && now < waiting.answer_deadline) {
+        messages::worker_poll_answer made =
+            waiting.current ? this->build_poll_answer(worker) : messages::worker_poll_answer();
+        made.term = this->term;
+        const bool needs_token =
+            !waiting.poll.unconfirmed.empty() || (!worker.id.empty() && !waiting.current);
+        const bool has_news = waiting.current ? made.orders_digest != waiting.poll.orders_digest
+                                              : this->has_recorded_ends(waiting.poll);
+        if (!needs_token && !has_news && now < waiting.answer_deadline) {
             ++each;
             continue;
         }
-        if (!worker.id.empty()) {
+        if (waiting.current) {
             this->job_scheduler.record_permit(worker);
         }
-        for (const messages::ended_incarnation& ended : waiting.poll.ended_incarnations) {
-            if (ended.ended_runs.empty() ||
-                ended.ended_runs.back().number <= this->state.last_recorded_end(ended.worker)) {
-                made.recorded_incarnations.push_back(ended.worker);
-            }
-        }
+        made.tokens = this->issue_tokens(waiting);
+        made.recorded_incarnations = this->recorded_incarnations(waiting.poll);
         waiting.answer(pack(made));
         each = this->polls.erase(each);
     }
--- a/src/libsupervisor/supervisor.cpp
+++ b/src/libsupervisor/supervisor.cpp
@@ -16,8 +16,10 @@
 /// Number of ended incarnations that are listed in polls. The leader has seen older ones, or their
 /// leases have expired.
 constexpr std::size_t max_ended_incarnations = 8;
-/// Consecutive refused connections after which a draining worker is taken for ended when the time
-/// for which it announced to work is ended.
+/// Number of announced incarnations that are kept until the worker confirms one of them.
+constexpr std::size_t max_unconfirmed = 4;
+/// Consecutive refused connections after which a worker that has deregistered, or that is draining
+/// and has worked for the time that it announced, is taken for ended.
 constexpr std::size_t refusals_until_ended = 2;
 
 bool is_listed(const worker_listing& listing, const run_id& run)
@@ -72,6 +74,10 @@
         return "no answer";
     case worker_errc::refused:
         return "refused";
+    case worker_errc::fenced:
+        return "fenced";
+    case worker_errc::other_incarnation:
+        return "other incarnation";
     }
     return "unknown";
 }
@@ -84,6 +90,8 @@
     case worker_errc::no_answer:
         return absl::StatusCode::kUnknown;
     case worker_errc::refused:
+    case worker_errc::fenced:
+    case worker_errc::other_incarnation:
         return absl::StatusCode::kFailedPrecondition;
     }
     return absl::StatusCode::kUnknown;
@@ -100,6 +108,8 @@
     return this->clock() < this->permit_until;
 }
 
+// --- incarnations -------------------------------------------------------------------------------
+
 void supervisor::announce(worker_description announced, std::uint64_t sequence)
 {
     announced.incarnation.host = this->options.name;
@@ -111,31 +121,32 @@
     if (has_ended) {
         return;
     }
-    if (this->worker.has_value()) {
-        const worker_incarnation& current_incarnation = this->worker->incarnation;
-        if (announced.incarnation.started_unix_ms < current_incarnation.started_unix_ms ||
-            (announced.incarnation == current_incarnation && sequence <= this->last_sequence)) {
-            spdlog::info("event=announcement_ignored worker={} born={} sequence={} present={} "
-                         "present_born={}",
-                         announced.incarnation.id, announced.incarnation.started_unix_ms, sequence,
-                         current_incarnation.id, current_incarnation.started_unix_ms);
-            return;
-        }
+    if (this->worker.has_value() && this->worker->incarnation == announced.incarnation) {
+        this->update_worker(std::move(announced), sequence);
     }
-    const bool is_new =
-        !this->worker.has_value() || this->worker->incarnation != announced.incarnation;
-    if (is_new) {
-        this->begin_incarnation(announced.incarnation, "announcement");
+    else {
+        this->add_unconfirmed(announced, sequence);
+    }
+}
+
+void supervisor::update_worker(worker_description announced, std::uint64_t sequence)
+{
+    if (sequence <= this->last_sequence) {
+        spdlog::info("event=announcement_ignored worker={} born={} sequence={} last_sequence={}",
+                     announced.incarnation.id, announced.incarnation.started_unix_ms, sequence,
+                     this->last_sequence);
+        return;
     }
-    announced.reachable = is_new || this->worker->reachable;
-    this->drain_deadline = this->clock() + milliseconds(announced.remaining_ms);
-    const bool changed = is_new || *this->worker != announced;
-    this->worker = announced;
     this->last_sequence = sequence;
-    if (changed) {
+    const bool is_back = this->deregistered && !announced.draining;
+    this->deregistered = this->deregistered && !is_back;
+    announced.reachable = this->worker->reachable;
+    this->drain_deadline = this->clock() + milliseconds(announced.remaining_ms);
+    if (is_back || *this->worker != announced) {
+        this->worker = std::move(announced);
         spdlog::info("event=worker_announced worker={} born={} draining={} sequence={}",
-                     announced.incarnation.id, announced.incarnation.started_unix_ms,
-                     announced.draining, sequence);
+                     this->worker->incarnation.id, this->worker->incarnation.started_unix_ms,
+                     this->worker->draining, sequence);
         this->schedule_poll();
     }
     if (!this->renewing) {
@@ -143,25 +154,163 @@
     }
 }
 
-void supervisor::begin_incarnation(const worker_incarnation& incarnation, std::string_view evidence)
+void supervisor::add_unconfirmed(const worker_description& announced, std::uint64_t sequence)
+{
+    const auto found = this->unconfirmed.find(announced.incarnation);
+    const bool is_new = found == this->unconfirmed.end();
+    if (!is_new && sequence <= found->second.sequence) {
+        return;
+    }
+    if (is_new && this->unconfirmed.size() >= max_unconfirmed) {
+        this->unconfirmed.erase(std::min_element(this->unconfirmed.begin(), this->unconfirmed.end(),
+                                                 [](const auto& left, const auto& right) {
+                                                     return left.second.expires_at <
+                                                            right.second.expires_at;
+                                                 }));
+    }
+    unconfirmed_worker& added = this->unconfirmed[announced.incarnation];
+    added.description = announced;
+    added.sequence = sequence;
+    added.drain_deadline = this->clock() + milliseconds(announced.remaining_ms);
+    added.expires_at = this->clock() + this->options.unconfirmed_lifetime;
+    if (is_new) {
+        spdlog::info("event=incarnation_announced worker={} born={} present={} present_born={}",
+                     announced.incarnation.id, announced.incarnation.started_unix_ms,
+                     this->worker.has_value() ? this->worker->incarnation.id : "",
+                     this->worker.has_value() ? this->worker->incarnation.started_unix_ms : 0);
+        this->schedule_poll();
+    }
+}
+
+void supervisor::accept_token(const messages::issued_token& issued)
+{
+    if (this->worker.has_value() && this->worker->incarnation == issued.worker) {
+        if (issued.token > this->fencing_token) {
+            this->fencing_token = issued.token;
+            this->renew();
+        }
+        return;
+    }
+    const auto found = this->unconfirmed.find(issued.worker);
+    if (found != this->unconfirmed.end() && issued.token > found->second.token) {
+        found->second.token = issued.token;
+        this->confirm(issued.worker);
+    }
+}
+
+/// Asks the worker for its runs as the announced incarnation.
+void supervisor::confirm(const worker_incarnation& incarnation)
+{
+    const auto found = this->unconfirmed.find(incarnation);
+    if (found == this->unconfirmed.end() || found->second.listing) {
+        return;
+    }
+    found->second.listing = true;
+    renew_request order;
+    order.worker = incarnation;
+    order.fencing_token = found->second.token;
+    this->port.renew(order, [this, incarnation, token = order.fencing_token](
+                                const absl::StatusOr<worker_listing>& listing) {
+        this->on_confirmation(incarnation, token, listing);
+    });
+}
+
+void supervisor::on_confirmation(const worker_incarnation& incarnation, std::uint64_t token,
+                                 const absl::StatusOr<worker_listing>& listing)
+{
+    const auto found = this->unconfirmed.find(incarnation);
+    if (found == this->unconfirmed.end()) {
+        return;
+    }
+    found->second.listing = false;
+    const std::optional<worker_errc> error = error_code<worker_errc>(listing.status());
+    const bool is_other = listing.ok()
+                              ? listing->worker.id != incarnation.id ||
+                                    listing->worker.started_unix_ms != incarnation.started_unix_ms
+                              : error == worker_errc::other_incarnation;
+    if (is_other || this->clock() >= found->second.expires_at) {
+        spdlog::warn("event=incarnation_not_confirmed worker={} born={} reason={}", incarnation.id,
+                     incarnation.started_unix_ms, is_other ? "other_incarnation" : "no_answer");
+        this->unconfirmed.erase(found);
+        return;
+    }
+    if (listing.ok()) {
+        const unconfirmed_worker confirmed = found->second;
+        this->unconfirmed.erase(found);
+        this->replace_worker(confirmed, token, *listing);
+        return;
+    }
+    const bool fenced = error == worker_errc::fenced;
+    if (fenced) {
+        found->second.token = 0;
+    }
+    this->hooks.run_at(this->clock() + this->options.pause_after_failure,
+                       [this, incarnation, fenced] {
+                           if (fenced) {
+                               this->schedule_poll();
+                           }
+                           else {
+                               this->confirm(incarnation);
+                           }
+                       });
+}
+
+void supervisor::replace_worker(const unconfirmed_worker& confirmed, std::uint64_t token,
+                                const worker_listing& listing)
 {
     if (this->worker.has_value()) {
-        spdlog::info("event=worker_replaced worker={} born={} new={} new_born={} evidence={} "
-                     "running={} permit={}",
-                     this->worker->incarnation.id, this->worker->incarnation.started_unix_ms,
-                     incarnation.id, incarnation.started_unix_ms, evidence, this->running.size(),
-                     this->has_permit());
-        messages::ended_incarnation ended{this->worker->incarnation, {}, std::string(evidence)};
-        for (const auto& [number, end] : this->ended_runs) {
-            if (number > this->last_recorded_end) {
-                ended.ended_runs.push_back(end);
-            }
+        const bool crashed = !this->worker->draining && !this->deregistered;
+        this->end_incarnation("replaced", crashed);
+    }
+    this->worker = confirmed.description;
+    this->last_sequence = confirmed.sequence;
+    this->drain_deadline = confirmed.drain_deadline;
+    this->fencing_token = token;
+    this->listed_token = token;
+    spdlog::info("event=worker_confirmed worker={} born={} draining={} token={} running={}",
+                 this->worker->incarnation.id, this->worker->incarnation.started_unix_ms,
+                 this->worker->draining, token, listing.running.size());
+    this->on_listing(listing);
+    this->renew();
+    this->schedule_poll();
+}
+
+/// Returns the runs that were listed last, and those that were ordered and not refused.
+std::vector<run_id> supervisor::possibly_running() const
+{
+    std::set<run_id> found;
+    for (const run_progress& each : this->running) {
+        found.insert(each.run);
+    }
+    for (const auto& [run, start] : this->starts) {
+        const bool has_ended =
+            std::any_of(this->ended_runs.begin(), this->ended_runs.end(),
+                        [&ended = run](const auto& each) { return each.second.run == ended; });
+        if (start.deadline != 0 && !start.refused && !has_ended) {
+            found.insert(run);
         }
-        this->ended_incarnations.push_back(std::move(ended));
-        if (this->ended_incarnations.size() > max_ended_incarnations) {
-            this->ended_incarnations.erase(this->ended_incarnations.begin());
+    }
+    return {found.begin(), found.end()};
+}
+
+/// Records the end of the current incarnation and resets what is known of it.
+void supervisor::end_incarnation(std::string_view evidence, bool crashed)
+{
+    spdlog::info("event=worker_ended worker={} born={} evidence={} crashed={} running={} permit={}",
+                 this->worker->incarnation.id, this->worker->incarnation.started_unix_ms, evidence,
+                 crashed, this->running.size(), this->has_permit());
+    messages::ended_incarnation ended{
+        this->worker->incarnation, {}, std::string(evidence), crashed, this->possibly_running()};
+    for (const auto& [number, end] : this->ended_runs) {
+        if (number > this->last_recorded_end) {
+            ended.ended_runs.push_back(end);
         }
     }
+    this->ended_incarnations.push_back(std::move(ended));
+    if (this->ended_incarnations.size() > max_ended_incarnations) {
+        this->ended_incarnations.erase(this->ended_incarnations.begin());
+    }
+    this->worker.reset();
     this->worker_clock.reset();
     this->running.clear();
     this->ended_runs.clear();
@@ -173,26 +322,25 @@
     this->stops.clear();
     this->orders_digest = 0;
     this->last_sequence = 0;
+    this->deregistered = false;
+    this->fencing_token = 0;
+    this->listed_token = 0;
     this->renewing = false;
     this->refused_renewals = 0;
     ++this->renewal_number;
+    this->schedule_poll();
 }
 
-void supervisor::worker_left(const std::string& id)
+void supervisor::worker_deregistered(std::string_view id)
 {
-    if (!this->worker.has_value() || this->worker->incarnation.id != id) {
+    if (!this->worker.has_value() || this->worker->incarnation.id != id || this->deregistered) {
         return;
     }
-    this->end_worker("deregistration");
-}
-
-void supervisor::end_worker(std::string_view evidence)
-{
-    spdlog::info("event=worker_left worker={} born={} evidence={}", this->worker->incarnation.id,
-                 this->worker->incarnation.started_unix_ms, evidence);
-    this->begin_incarnation({}, evidence);
-    this->worker.reset();
+    spdlog::info("event=worker_deregistered worker={} born={} running={}", id,
+                 this->worker->incarnation.started_unix_ms, this->running.size());
+    this->deregistered = true;
     this->schedule_poll();
+    this->renew();
 }
 
 // --- lease and listing --------------------------------------------------------------------------
@@ -212,7 +360,7 @@
 
 void supervisor::renew()
 {
-    if (!this->worker.has_value()) {
+    if (!this->worker.has_value() || this->fencing_token == 0) {
         this->renewing = false;
         return;
     }
@@ -220,7 +368,7 @@
     this->log_permit(this->has_permit());
     renew_request order;
     order.worker = this->worker->incarnation;
-    order.fencing_token = this->term;
+    order.fencing_token = this->fencing_token;
     order.last_recorded_end = this->last_recorded_end;
     // An immediate answer shows as early as possible that the worker can be reached again.
     const bool may_wait = this->worker_clock.has_value() && this->worker->reachable;
@@ -231,29 +379,38 @@
     }
     const std::uint64_t number = ++this->renewal_number;
     this->renewal_sent_at = this->clock();
-    this->port.renew(order, [this, number](const absl::StatusOr<worker_listing>& listing) {
-        if (number != this->renewal_number) {
-            return;
+    this->port.renew(order, [this, number, token = order.fencing_token](
+                                const absl::StatusOr<worker_listing>& listing) {
+        if (number == this->renewal_number) {
+            this->on_renewal(token, listing);
         }
-        if (listing.ok() && this->worker.has_value() &&
-            listing->worker.id == this->worker->incarnation.id &&
-            listing->worker.started_unix_ms == this->worker->incarnation.started_unix_ms) {
-            this->refused_renewals = 0;
-            this->set_reachable(true);
-            this->on_listing(*listing);
+    });
+}
+
+void supervisor::on_renewal(std::uint64_t token, const absl::StatusOr<worker_listing>& listing)
+{
+    if (listing.ok() && listing->worker.id == this->worker->incarnation.id &&
+        listing->worker.started_unix_ms == this->worker->incarnation.started_unix_ms) {
+        this->refused_renewals = 0;
+        this->set_reachable(true);
+        if (this->listed_token != token) {
+            this->listed_token = token;
+            this->schedule_poll();
+        }
+        this->on_listing(*listing);
+        this->renew();
+        return;
+    }
+    spdlog::warn("event=worker_renewal_failed worker={} error=\"{}\"", this->worker->incarnation.id,
+                 listing.ok() ? "the answer is from another incarnation of the worker"
+                              : std::string(listing.status().message()));
+    this->on_renewal_failed(listing.status());
+    const milliseconds pause = this->deregistered ? this->options.pause_after_deregistration
+                                                  : this->options.pause_after_failure;
+    this->hooks.run_at(this->clock() + pause, [this, number = this->renewal_number] {
+        if (number == this->renewal_number) {
             this->renew();
-            return;
         }
-        spdlog::warn("event=worker_renewal_failed worker={} error=\"{}\"",
-                     this->worker.has_value() ? this->worker->incarnation.id : "",
-                     listing.ok() ? "the answer is from another incarnation of the worker"
-                                  : std::string(listing.status().message()));
-        this->on_renewal_failed(listing.status());
-        this->hooks.run_at(this->clock() + this->options.pause_after_failure, [this, number] {
-            if (number == this->renewal_number) {
-                this->renew();
-            }
-        });
     });
 }
 
@@ -270,17 +427,22 @@
 
 void supervisor::on_renewal_failed(const absl::Status& status)
 {
-    if (!this->worker.has_value()) {
+    const std::optional<worker_errc> code = error_code<worker_errc>(status);
+    if (code == worker_errc::fenced) {
+        this->fencing_token = 0;
+        this->hooks.run_at(this->clock() + this->options.pause_after_failure,
+                           [this] { this->schedule_poll(); });
         return;
     }
     this->set_reachable(false);
-    const bool refused = error_code<worker_errc>(status) == worker_errc::not_listening;
+    const bool refused = code == worker_errc::not_listening;
     this->refused_renewals = refused ? this->refused_renewals + 1 : 0;
     // A draining worker listens for at least as long as it announced to work. Not every worker
     // gives notice when it ends.
-    if (this->worker->draining && this->clock() >= this->drain_deadline &&
-        this->refused_renewals >= refusals_until_ended) {
-        this->end_worker("refused_connections");
+    const bool may_end =
+        this->deregistered || (this->worker->draining && this->clock() >= this->drain_deadline);
+    if (may_end && this->refused_renewals >= refusals_until_ended) {
+        this->end_incarnation(this->deregistered ? "deregistration" : "refused_connections", false);
     }
 }
 
@@ -405,10 +567,10 @@
 
 void supervisor::send_stop(const run_id& run)
 {
-    spdlog::info("event=run_stopping task={} worker={} term={}", format_run(run),
-                 this->worker->incarnation.id, this->term);
+    spdlog::info("event=run_stopping task={} worker={} term={} permit={}", format_run(run),
+                 this->worker->incarnation.id, this->term, this->has_permit());
     const worker_incarnation incarnation = this->worker->incarnation;
-    this->port.stop_run({incarnation, run, this->term},
+    this->port.stop_run({incarnation, run, this->fencing_token},
                         [this, run, incarnation](bool acknowledged) {
                             if (!acknowledged) {
                                 spdlog::warn("event=stop_unanswered task={} worker={}",
@@ -437,10 +599,10 @@
     const worker_time_ms now = *this->worker_clock + std::chrono::duration_cast<milliseconds>(
                                                          this->clock() - this->worker_clock_read_at)
                                                          .count();
-    if (!limit.has_value() || this->worker->draining) {
+    if (!limit.has_value() || this->worker->draining || this->deregistered) {
         // An earlier attempt may still be carried out, until its deadline.
         if (start.unanswered_attempts == 0) {
-            this->mark_refused(run, start, this->worker->draining ? "draining" : "no_permit");
+            this->mark_refused(run, start, limit.has_value() ? "draining" : "no_permit");
         }
         else if (start.deadline == 0) {
             start.deadline = std::max(now, this->predecessor_deadline);
@@ -455,7 +617,7 @@
     start.sent_at = this->clock();
     const worker_incarnation incarnation = start.worker;
     this->port.start_run({start.worker, run, start.order.payload, start.order.checkpoint,
-                          start.deadline, this->term},
+                          start.deadline, this->fencing_token},
                          [this, run, incarnation](start_result result) {
                              if (this->worker.has_value() &&
                                  this->worker->incarnation == incarnation) {
@@ -522,7 +684,11 @@
 
 void supervisor::send_poll()
 {
-    if (!this->worker.has_value() && this->ended_incarnations.empty()) {
+    const steady_time now = this->clock();
+    std::erase_if(this->unconfirmed,
+                  [now](const auto& each) { return now >= each.second.expires_at; });
+    if (!this->worker.has_value() && this->ended_incarnations.empty() &&
+        this->unconfirmed.empty()) {
         return;
     }
     if (this->polls_in_flight >= max_polls_in_flight) {
@@ -532,10 +698,21 @@
     this->poll_requested = false;
     messages::worker_poll poll;
     poll.supervisor = this->options.name;
+    poll.process = this->options.process;
     poll.sequence = ++this->poll_sequence;
+    poll.fencing_token = this->listed_token;
+    for (const auto& [incarnation, each] : this->unconfirmed) {
+        if (each.token == 0) {
+            poll.unconfirmed.push_back(incarnation);
+        }
+    }
     if (this->worker.has_value()) {
+        if (this->fencing_token == 0) {
+            poll.unconfirmed.push_back(this->worker->incarnation);
+        }
         poll.worker = *this->worker;
-        poll.worker.remaining_ms = remaining_until(this->drain_deadline, this->clock()).count();
+        poll.worker.reachable = this->worker->reachable && !this->deregistered;
+        poll.worker.remaining_ms = remaining_until(this->drain_deadline, now).count();
         poll.running = this->running;
     }
     for (const auto& [number, end] : this->ended_runs) {
@@ -554,38 +731,47 @@
     poll.ended_incarnations = this->ended_incarnations;
     poll.orders_digest = this->orders_digest;
     ++this->polls_in_flight;
-    const steady_time sent_at = this->clock();
     const std::uint64_t sequence = poll.sequence;
     const worker_incarnation incarnation = poll.worker.incarnation;
-    this->hooks.poll(poll, sent_at + this->options.poll_timeout,
-                     [this, sent_at, sequence,
+    this->hooks.poll(poll, now + this->options.poll_timeout,
+                     [this, sent_at = now, sequence,
                       incarnation](const absl::StatusOr<messages::worker_poll_answer>& answer) {
                          --this->polls_in_flight;
-                         const bool current =
-                             this->worker.has_value() && this->worker->incarnation == incarnation;
-                         if (answer.ok()) {
-                             this->clear_recorded_ends(answer->recorded_incarnations);
-                         }
-                         if (answer.ok() && current && sequence > this->last_answered_poll) {
-                             this->last_answered_poll = sequence;
-                             this->on_poll_answer(*answer, sent_at);
-                         }
-                         if (this->polls_in_flight > 0 && !this->poll_requested) {
-                             return;
-                         }
-                         if (answer.ok() || this->polls_in_flight > 0) {
-                             this->schedule_poll();
-                             return;
-                         }
-                         this->hooks.run_at(this->clock() + this->options.pause_after_failure,
-                                            [this] {
-                                                if (this->polls_in_flight == 0) {
-                                                    this->schedule_poll();
-                                                }
-                                            });
+                         this->on_poll_result(answer, incarnation, sequence, sent_at);
                      });
 }
 
+void supervisor::on_poll_result(const absl::StatusOr<messages::worker_poll_answer>& answer,
+                                const worker_incarnation& incarnation, std::uint64_t sequence,
+                                steady_time sent_at)
+{
+    if (answer.ok()) {
+        this->clear_recorded_ends(answer->recorded_incarnations);
+        const bool current = this->worker.has_value() && this->worker->incarnation == incarnation;
+        if (current && answer->has_orders && sequence > this->last_answered_poll) {
+            this->last_answered_poll = sequence;
+            this->on_poll_answer(*answer, sent_at);
+        }
+        for (const messages::issued_token& each : answer->tokens) {
+            this->accept_token(each);
+        }
+    }
+    if (this->polls_in_flight > 0 && !this->poll_requested) {
+        return;
+    }
+    // Without orders the next poll waits until the worker has answered under its new token.
+    const bool progress = answer.ok() && (answer->has_orders || this->poll_requested);
+    if (progress || this->polls_in_flight > 0) {
+        this->schedule_poll();
+        return;
+    }
+    this->hooks.run_at(this->clock() + this->options.pause_after_failure, [this] {
+        if (this->polls_in_flight == 0) {
+            this->schedule_poll();
+        }
+    });
+}
+
 void supervisor::clear_recorded_ends(const std::vector<worker_incarnation>& recorded_incarnations)
 {
     for (messages::ended_incarnation& each : this->ended_incarnations) {
--- a/src/libsupervisor/supervisor_test.cpp
+++ b/src/libsupervisor/supervisor_test.cpp
@@ -62,6 +62,7 @@
         this->port.renewals.clear();
         supervisor_options options;
         options.name = "host";
+        options.process = ++this->process;
         supervisor_hooks hooks;
         hooks.poll =
             [this](const messages::worker_poll& poll, steady_time,
@@ -95,6 +96,24 @@
         worker.remaining_ms = remaining_ms;
         this->subject->announce(worker, ++this->sequence);
         this->advance_time(milliseconds(0));
+        this->answer_token_request();
+    }
+
+    /// Answers the last poll with a token for each incarnation that it names, if there are any.
+    void answer_token_request()
+    {
+        if (this->polls.empty() || this->polls.back().poll.unconfirmed.empty()) {
+            return;
+        }
+        const pending_poll poll = this->polls.back();
+        this->polls.pop_back();
+        messages::worker_poll_answer answer;
+        answer.term = 3;
+        for (const worker_incarnation& each : poll.poll.unconfirmed) {
+            answer.tokens.push_back({each, ++this->token});
+        }
+        poll.done(answer);
+        this->advance_time(milliseconds(0));
     }
 
     /// Answers all polls but the last as the leader does when a newer one has arrived.
@@ -143,6 +162,7 @@
         this->polls.clear();
         messages::worker_poll_answer answer;
         answer.term = term;
+        answer.has_orders = true;
         answer.permit_ms = 6000;
         answer.desired_runs = std::move(wanted);
         answer.withdrawn = std::move(withdrawn);
@@ -173,6 +193,8 @@
     worker_time_ms worker_clock = 10'000;
     std::int64_t started_unix_ms = 5;
     std::uint64_t sequence = 0;
+    std::uint64_t process = 0;
+    std::uint64_t token = 300;
     fake_port port;
     std::vector<pending_poll> polls;
     std::multimap<steady_time, std::function<void()>> timers;
@@ -181,14 +203,14 @@
 
 } // namespace
 
-// Failure: a start is sent before the worker's clock is known, or without the term or a deadline.
-TEST_CASE("a start carries the term and a deadline on the worker's clock")
+// Failure: a start is sent before the worker's clock is known, or without the token or a deadline.
+TEST_CASE("a start carries the fencing token and a deadline on the worker's clock")
 {
     world w;
     w.complete_start_up();
     w.answer_poll({run_one}, {run_one});
     REQUIRE(w.port.starts.size() == 1);
-    CHECK(w.port.starts[0].order.fencing_token == 3);
+    CHECK(w.port.starts[0].order.fencing_token == w.token);
     CHECK(w.port.starts[0].order.deadline > w.worker_clock);
     CHECK(w.port.starts[0].order.deadline <= w.worker_clock + 1500);
 }
@@ -261,9 +283,10 @@
     w.restart();
     w.port.starts.clear();
     w.announce();
+    CHECK(w.port.starts.empty());
+    w.answer_renewal({{run_one, "", 30}});
     w.answer_poll({run_one}, {run_one});
     CHECK(w.refused().empty());
-    CHECK(w.port.starts.empty());
     w.answer_renewal({{run_one, "", 30}});
     w.advance_time(milliseconds(100));
     CHECK(w.port.starts.empty());
@@ -447,6 +470,8 @@
     w.complete_start_up();
     w.started_unix_ms = 9;
     w.announce();
+    w.answer_renewal();
+    w.replace_polls();
     CHECK(w.polls.back().poll.ended_incarnations.size() == 1);
     w.started_unix_ms = 5;
     w.announce();
@@ -479,8 +504,9 @@
     w.complete_start_up();
     const ended_run end{1, run_one, run_outcome::done, ""};
     w.answer_renewal({}, {end});
-    w.subject->worker_left("w");
-    w.advance_time(milliseconds(0));
+    w.subject->worker_deregistered("w");
+    w.fail_renewal(worker_errc::not_listening);
+    w.fail_renewal(worker_errc::not_listening);
     w.replace_polls();
     REQUIRE_FALSE(w.polls.empty());
     const messages::worker_poll poll = w.polls.back().poll;
@@ -494,7 +520,7 @@
     const world::pending_poll answered = w.polls.back();
     w.polls.clear();
     answered.done(recorded);
-    w.advance_time(milliseconds(0));
+    w.advance_time(milliseconds(200));
     REQUIRE_FALSE(w.polls.empty());
     CHECK(w.polls.back().poll.ended_incarnations.front().ended_runs.empty());
 }
@@ -522,11 +548,16 @@
     w.answer_poll({run_one}, {run_one});
     w.port.starts[0].done(start_result::started);
     w.answer_renewal({{run_one, "", 10}});
-    w.subject->worker_left("w");
+    w.subject->worker_deregistered("w");
     w.advance_time(milliseconds(0));
     w.replace_polls();
     REQUIRE_FALSE(w.polls.empty());
     CHECK(w.polls.back().poll.ended_incarnations.empty());
+    CHECK_FALSE(w.polls.back().poll.worker.reachable);
+    // The deregistration was late: the worker goes on.
+    w.announce();
+    w.replace_polls();
+    CHECK(w.polls.back().poll.worker.reachable);
 }
 
 // Failure: an announcement of another writer ends the worker, and its tasks run twice.
@@ -542,9 +573,14 @@
     other.service = "inspector";
     w.subject->announce(other, 1);
     w.advance_time(milliseconds(0));
+    w.answer_token_request();
+    REQUIRE(w.port.renewals.back().order.worker.id == "other");
+    w.fail_renewal(worker_errc::other_incarnation);
     w.replace_polls();
     REQUIRE_FALSE(w.polls.empty());
     CHECK(w.polls.back().poll.ended_incarnations.empty());
+    CHECK(w.polls.back().poll.worker.incarnation.id == "w");
+    CHECK(w.polls.back().poll.unconfirmed.empty());
 }
 
 // Failure: runs go on after the permit on a worker that was suspended together with its host.
@@ -560,3 +596,65 @@
     w.advance_time(milliseconds(0));
     CHECK(w.port.stops.size() == 1);
 }
+
+// Failure: an order that was held up on its way to the previous incarnation is carried out by the
+// next one with the same id, and its task runs twice.
+TEST_CASE("an incarnation is reported before it has seen a token that voids earlier orders")
+{
+    world w;
+    w.complete_start_up();
+    w.answer_poll({run_one}, {run_one});
+    REQUIRE(w.port.starts.size() == 1);
+    w.port.starts[0].done(start_result::no_answer);
+    const std::uint64_t token_of_order = w.port.starts[0].order.fencing_token;
+    w.started_unix_ms = 9;
+    w.announce();
+    w.replace_polls();
+    CHECK(w.polls.back().poll.worker.incarnation.started_unix_ms == 5);
+    CHECK(w.polls.back().poll.ended_incarnations.empty());
+    CHECK(w.port.renewals.back().order.fencing_token > token_of_order);
+    w.answer_renewal({{run_one, "", 0}});
+    w.replace_polls();
+    const messages::worker_poll& poll = w.polls.back().poll;
+    CHECK(poll.worker.incarnation.started_unix_ms == 9);
+    CHECK(poll.fencing_token > token_of_order);
+    CHECK(poll.running.size() == 1);
+    REQUIRE(poll.ended_incarnations.size() == 1);
+    CHECK(poll.ended_incarnations.front().crashed);
+    CHECK(poll.ended_incarnations.front().runs_at_end == std::vector<run_id>{run_one});
+}
+
+// Failure: a worker that was restarted while the time of day jumped back is never recognized.
+TEST_CASE("an incarnation with an earlier start time is not confirmed")
+{
+    world w;
+    w.complete_start_up();
+    w.started_unix_ms = 3;
+    w.announce();
+    w.answer_renewal();
+    w.replace_polls();
+    CHECK(w.polls.back().poll.worker.incarnation.started_unix_ms == 3);
+    CHECK(w.polls.back().poll.ended_incarnations.size() == 1);
+}
+
+// Failure: after its worker has seen a higher token, a supervisor renews the lease in vain, or
+// polls without a pause.
+TEST_CASE("a fenced supervisor does not ask for a new token")
+{
+    world w;
+    w.complete_start_up();
+    w.answer_poll({}, {});
+    const std::uint64_t refused_token = w.port.renewals.back().order.fencing_token;
+    w.fail_renewal(worker_errc::fenced);
+    w.replace_polls();
+    REQUIRE(w.polls.back().poll.unconfirmed.size() == 1);
+    CHECK(w.polls.back().poll.worker.reachable);
+    w.answer_token_request();
+    REQUIRE_FALSE(w.port.renewals.empty());
+    CHECK(w.port.renewals.back().order.fencing_token > refused_token);
+    w.answer_renewal();
+    w.advance_time(milliseconds(200));
+    w.replace_polls();
+    CHECK(w.polls.back().poll.fencing_token > refused_token);
+    CHECK(w.polls.back().poll.unconfirmed.empty());
+}
