--- a/src/include/redwingwheel/supervisor.h
+++ b/src/include/redwingwheel/supervisor.h
@@ -115,6 +115,7 @@
     void set_reachable(bool reachable);
     void on_renewal(std::uint64_t token, const absl::StatusOr<worker_listing>& listing);
     void on_renewal_failed(const absl::Status& status);
+    void watch_permit();
     void on_listing(const worker_listing& listing);
     void stop_unwanted();
     void send_stop(const run_id& run);
@@ -160,6 +161,7 @@
     std::uint64_t term = 0;
     steady_time permit_until;
     bool permit_logged = false;
+    bool permit_watched = false;
     bool has_orders = false;
     std::set<run_id> desired_runs;
     std::uint64_t orders_digest = 0;
--- a/src/libsupervisor/supervisor.cpp
+++ b/src/libsupervisor/supervisor.cpp
@@ -446,6 +446,25 @@
     }
 }
 
+/// Stops the worker's runs when the permit has expired. The worker's lease ends by then as well,
+/// but the worker may have been suspended in between, or have extended it late.
+void supervisor::watch_permit()
+{
+    if (this->permit_watched) {
+        return;
+    }
+    this->permit_watched = true;
+    this->hooks.run_at(this->permit_until, [this] {
+        this->permit_watched = false;
+        if (this->has_permit()) {
+            this->watch_permit();
+            return;
+        }
+        this->log_permit(false);
+        this->stop_unwanted();
+    });
+}
+
 /// Logs the runs that the worker lists although this process has not ordered them from this
 /// incarnation: runs of an earlier process of the supervisor, and orders for an earlier incarnation
 /// that were carried out late.
@@ -530,8 +549,9 @@
         return;
     }
     std::set<run_id> unwanted = this->withdrawn;
+    const bool permitted = this->has_permit();
     for (const run_progress& each : this->running) {
-        if (!this->desired_runs.contains(each.run)) {
+        if (!permitted || !this->desired_runs.contains(each.run)) {
             unwanted.insert(each.run);
         }
     }
@@ -793,6 +813,7 @@
     const bool first = !this->has_orders;
     this->term = answer.term;
     this->permit_until = std::max(this->permit_until, sent_at + milliseconds(answer.permit_ms));
+    this->watch_permit();
     this->has_orders = true;
     this->orders_digest = answer.orders_digest;
     this->last_recorded_end = std::max(this->last_recorded_end, answer.last_recorded_end);
