--- a/src/libhttp/http_client.cpp
+++ b/src/libhttp/http_client.cpp
@@ -22,6 +22,7 @@
     std::uint64_t number = 0;
     client_request request;
     response_function done;
+    std::size_t sent_bytes = 0; ///< Of the body, if the request is sent once.
     client_response response;
     std::size_t max_response_bytes = 0;
     bool too_large = false;
@@ -52,6 +53,15 @@
     return bytes;
 }
 
+/// Hands the body to libcurl, which cannot read it a second time.
+std::size_t read_body_once(char* buffer, std::size_t size, std::size_t count, void* user)
+{
+    transfer& source = *static_cast<transfer*>(user);
+    const std::size_t copied = source.request.body.copy(buffer, size * count, source.sent_bytes);
+    source.sent_bytes += copied;
+    return copied;
+}
+
 std::size_t on_header(char* data, std::size_t size, std::size_t count, void* user)
 {
     transfer& target = *static_cast<transfer*>(user);
@@ -118,7 +128,14 @@
     if (request.method != "GET") {
         curl_easy_setopt(created.handle, CURLOPT_POSTFIELDSIZE_LARGE,
                          static_cast<curl_off_t>(request.body.size()));
-        curl_easy_setopt(created.handle, CURLOPT_POSTFIELDS, request.body.c_str());
+        if (request.send_once) {
+            curl_easy_setopt(created.handle, CURLOPT_POST, 1L);
+            curl_easy_setopt(created.handle, CURLOPT_READFUNCTION, read_body_once);
+            curl_easy_setopt(created.handle, CURLOPT_READDATA, &created);
+        }
+        else {
+            curl_easy_setopt(created.handle, CURLOPT_POSTFIELDS, request.body.c_str());
+        }
     }
     for (const auto& [name, value] : request.headers) {
         created.headers = curl_slist_append(created.headers, (name + ": " + value).c_str());
