--- a/src/libsupervisor/supervisor.cpp
+++ b/src/libsupervisor/supervisor.cpp
@@ -667,7 +667,10 @@
         ++start.unanswered_attempts;
         return;
     case start_result::too_late:
-        this->mark_refused(run, start, "too_late");
+        // An earlier attempt may have started the run; the next list after the deadline shows it.
+        if (start.unanswered_attempts == 0) {
+            this->mark_refused(run, start, "too_late");
+        }
         return;
     case start_result::outdated:
         // Either the run has ended and is listed, or it is refused after the deadline.
--- a/src/libsupervisor/supervisor_test.cpp
+++ b/src/libsupervisor/supervisor_test.cpp
@@ -658,3 +658,21 @@
     CHECK(w.polls.back().poll.fencing_token > refused_token);
     CHECK(w.polls.back().poll.unconfirmed.empty());
 }
+
+// Failure: the refusal of a repeated start counts for an earlier attempt that has started the run.
+TEST_CASE("a start that was repeated too late is reported as refused at once")
+{
+    world w;
+    w.complete_start_up();
+    w.answer_poll({run_one}, {run_one});
+    w.port.starts[0].done(start_result::no_answer);
+    w.advance_time(milliseconds(500));
+    w.answer_renewal();
+    REQUIRE(w.port.starts.size() == 2);
+    w.port.starts[1].done(start_result::too_late);
+    w.advance_time(milliseconds(0));
+    CHECK(w.refused().empty());
+    w.advance_time(milliseconds(1600));
+    w.answer_renewal({{run_one, "", 5}});
+    CHECK(w.refused().empty());
+}
