--- a/src/libsupervisor/supervisor.cpp
+++ b/src/libsupervisor/supervisor.cpp
@@ -549,9 +549,12 @@
         return;
     }
     std::set<run_id> unwanted = this->withdrawn;
-    const bool permitted = this->has_permit();
+    if (!this->has_permit()) {
+        const std::vector<run_id> all = this->possibly_running();
+        unwanted.insert(all.begin(), all.end());
+    }
     for (const run_progress& each : this->running) {
-        if (!permitted || !this->desired_runs.contains(each.run)) {
+        if (!this->desired_runs.contains(each.run)) {
             unwanted.insert(each.run);
         }
     }
--- a/src/libsupervisor/supervisor_test.cpp
+++ b/src/libsupervisor/supervisor_test.cpp
@@ -676,3 +676,16 @@
     w.answer_renewal({{run_one, "", 5}});
     CHECK(w.refused().empty());
 }
+
+// Failure: a run that was started just before its host was suspended goes on after the permit.
+TEST_CASE("a run that was never listed is not stopped when the permit expires")
+{
+    world w;
+    w.complete_start_up();
+    w.answer_poll({run_one}, {run_one});
+    w.port.starts[0].done(start_result::started);
+    w.time.advance(milliseconds(8000));
+    w.advance_time(milliseconds(0));
+    REQUIRE(w.port.stops.size() == 1);
+    CHECK(w.port.stops[0].order.run == run_one);
+}
