Ask for a new token when a start is fenced or the worker has seen another one (TWICE)

What callers saw: nothing yet; the fault came with the fencing tokens for each incarnation. Cause: the confirmation of a made-up incarnation with the id of the present worker shows it a higher token. Where the worker lists its runs under a lower token instead of refusing the renewal, the supervisor did not notice, and all its orders were refused for good. 'a supervisor whose start is fenced does not ask for a new token' failed before and passes now. Change: both cases ask the leader for a new token.

--- a/src/include/redwingwheel/supervisor.h
+++ b/src/include/redwingwheel/supervisor.h
@@ -109,6 +109,7 @@
     void end_incarnation(std::string_view evidence, bool crashed);
     [[nodiscard]] std::vector<run_id> possibly_running() const;
     void accept_token(const messages::issued_token& issued);
+    void request_token();
     void log_unordered_runs(const worker_listing& listing);
     void log_permit(bool valid);
     void renew();
--- a/src/libsupervisor/supervisor.cpp
+++ b/src/libsupervisor/supervisor.cpp
@@ -198,6 +198,14 @@
     }
 }
 
+/// Asks the leader for a new token after the worker has seen a higher one.
+void supervisor::request_token()
+{
+    this->fencing_token = 0;
+    this->hooks.run_at(this->clock() + this->options.pause_after_failure,
+                       [this] { this->schedule_poll(); });
+}
+
 /// Asks the worker for its runs as the announced incarnation.
 void supervisor::confirm(const worker_incarnation& incarnation)
 {
@@ -228,6 +236,10 @@
                               ? listing->worker.id != incarnation.id ||
                                     listing->worker.started_unix_ms != incarnation.started_unix_ms
                               : error == worker_errc::other_incarnation;
+    if (is_other && this->worker.has_value() && this->worker->incarnation.id == incarnation.id) {
+        // The present incarnation has seen the token.
+        this->request_token();
+    }
     if (is_other || this->clock() >= found->second.expires_at) {
         spdlog::warn("event=incarnation_not_confirmed worker={} born={} reason={}", incarnation.id,
                      incarnation.started_unix_ms, is_other ? "other_incarnation" : "no_answer");
@@ -429,9 +441,7 @@
 {
     const std::optional<worker_errc> code = error_code<worker_errc>(status);
     if (code == worker_errc::fenced) {
-        this->fencing_token = 0;
-        this->hooks.run_at(this->clock() + this->options.pause_after_failure,
-                           [this] { this->schedule_poll(); });
+        this->request_token();
         return;
     }
     this->set_reachable(false);
@@ -675,6 +685,12 @@
             this->mark_refused(run, start, "too_late");
         }
         return;
+    case start_result::fenced:
+        this->request_token();
+        if (start.unanswered_attempts == 0) {
+            this->mark_refused(run, start, start_result_name(result));
+        }
+        return;
     case start_result::outdated:
         // Either the run has ended and is listed, or it is refused after the deadline.
         return;
--- a/src/libsupervisor/supervisor_test.cpp
+++ b/src/libsupervisor/supervisor_test.cpp
@@ -689,3 +689,15 @@
     REQUIRE(w.port.stops.size() == 1);
     CHECK(w.port.stops[0].order.run == run_one);
 }
+
+// Failure: a worker that lists its runs under a lower token refuses all orders for good.
+TEST_CASE("a supervisor whose start is fenced does not ask for a new token")
+{
+    world w;
+    w.complete_start_up();
+    w.answer_poll({run_one}, {run_one});
+    w.port.starts[0].done(start_result::fenced);
+    w.advance_time(milliseconds(200));
+    w.replace_polls();
+    CHECK(w.polls.back().poll.unconfirmed.size() == 1);
+}
