Place nothing on a worker that is over its capacity (LIMIT)

What callers see: a worker whose announced capacity has shrunk below what it runs gets another task, as long as the task needs nothing of the exceeded resource, and so stays over its capacity. Cause: the search for a place looked only at the resources that the step needs, one by one; a negative amount of another resource did not matter. Evidence: "nothing is placed on a worker that is over its capacity in any resource" failed before: a task without accelerators was placed on a worker that ran 8 of 4. Change: a worker that is over its capacity in any resource gets nothing. What is reserved for other steps is counted apart, because a reservation of resources that are still being freed makes the available amount negative too; such a worker may run other steps ("a worker with a reservation is not over its capacity" passed before and guards this). Ruled out: comparing the available amount alone, which would keep idle cores from all steps beside a reservation.

--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -124,6 +124,7 @@
 };
 
 struct placement_request;
+struct worker_availability;
 
 /// Scheduler of the leader. Its volatile state is rebuilt from the workers' reports.
 class scheduler {
@@ -273,7 +274,7 @@
     static void restore_reservations(scheduling_round& round, const pending_step& pending);
     static void for_each_competing_reservation(
         scheduling_round& round, const pending_step& pending,
-        const std::function<void(resources& available, const resources& per_task)>&);
+        const std::function<void(worker_availability& worker, const resources& per_task)>&);
     /// Runs of jobs whose priority number is above `protected_priority`, or all if it is empty, and
     /// runs that are about to end. Cheapest first per freed resources.
     [[nodiscard]] std::vector<victim>
--- a/src/libjobs/placement_search.cpp
+++ b/src/libjobs/placement_search.cpp
@@ -8,10 +8,22 @@
 
 namespace {
 
-/// Number of tasks of `step` that fit into `available` resources.
-std::uint32_t tasks_that_fit(const step_definition& step, const resources& available,
-                             std::uint32_t tasks_of_step)
+/// True when the runs on the worker use more than its capacity in any resource.
+bool is_over_capacity(const worker_availability& worker)
 {
+    resources unused = worker.available;
+    unused += worker.reserved;
+    return !resources().fits_in(unused);
+}
+
+/// Number of tasks of `step` that can be added to `worker`. A worker that is over its capacity gets
+/// none, whatever they need.
+std::uint32_t tasks_that_fit(const step_definition& step, const worker_availability& worker)
+{
+    if (is_over_capacity(worker)) {
+        return 0;
+    }
+    const resources& available = worker.available;
     resources need = step.per_task;
     if (step.best_effort_cpu) {
         need.cpu_millis = 0;
@@ -26,8 +38,9 @@
     limit(available.memory_mb, need.memory_mb);
     limit(available.accelerators, need.accelerators);
     if (step.per_worker_limit > 0) {
-        const std::uint32_t left =
-            step.per_worker_limit > tasks_of_step ? step.per_worker_limit - tasks_of_step : 0;
+        const std::uint32_t left = step.per_worker_limit > worker.tasks_of_step
+                                       ? step.per_worker_limit - worker.tasks_of_step
+                                       : 0;
         count = std::min<std::int64_t>(count, left);
     }
     return static_cast<std::uint32_t>(count);
@@ -54,8 +67,7 @@
     });
     std::vector<std::size_t> worker_indices;
     for (const std::size_t each : order) {
-        std::uint32_t fitting =
-            tasks_that_fit(step, workers[each].available, workers[each].tasks_of_step);
+        std::uint32_t fitting = tasks_that_fit(step, workers[each]);
         while (fitting > 0 && worker_indices.size() < tasks) {
             worker_indices.push_back(each);
             --fitting;
@@ -172,6 +184,7 @@
     std::vector<worker_availability> empty(workers.begin(), workers.end());
     for (worker_availability& each : empty) {
         each.available = each.capacity;
+        each.reserved = resources();
         each.tasks_of_step = 0;
     }
     return find_placement(request, empty).size() >= request.tasks;
--- a/src/libjobs/placement_search.h
+++ b/src/libjobs/placement_search.h
@@ -18,7 +18,10 @@
     bool eligible = false;
     /// Has failed work recently. Used only when no other worker fits.
     bool suspect = false;
+    /// Less what is reserved for other steps. Negative when more runs than the capacity allows.
     resources available;
+    /// Reserved for other steps.
+    resources reserved;
     /// Total resources of the worker.
     resources capacity;
     /// Number of tasks of the same step that are assigned to the worker.
--- a/src/libjobs/scheduler_reservations.cpp
+++ b/src/libjobs/scheduler_reservations.cpp
@@ -60,26 +60,30 @@
 
 void scheduler::subtract_reservations(scheduling_round& round, const pending_step& pending)
 {
-    for_each_competing_reservation(
-        round, pending,
-        [](resources& available, const resources& per_task) { available -= per_task; });
+    for_each_competing_reservation(round, pending,
+                                   [](worker_availability& worker, const resources& per_task) {
+                                       worker.available -= per_task;
+                                       worker.reserved += per_task;
+                                   });
 }
 
 void scheduler::restore_reservations(scheduling_round& round, const pending_step& pending)
 {
-    for_each_competing_reservation(
-        round, pending,
-        [](resources& available, const resources& per_task) { available += per_task; });
+    for_each_competing_reservation(round, pending,
+                                   [](worker_availability& worker, const resources& per_task) {
+                                       worker.available += per_task;
+                                       worker.reserved -= per_task;
+                                   });
 }
 
 void scheduler::for_each_competing_reservation(
     scheduling_round& round, const pending_step& pending,
-    const std::function<void(resources&, const resources&)>& change)
+    const std::function<void(worker_availability&, const resources&)>& change)
 {
     for (const active_reservation& held : round.active_reservations) {
         if (held.owner != pending.id() && held.urgency_class <= pending.urgency_class) {
             for (const std::size_t place : held.worker_indices) {
-                change(round.availability[place].available, held.per_task);
+                change(round.availability[place], held.per_task);
             }
         }
     }
