--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -202,7 +202,7 @@
     struct victim {
         std::vector<run_id> runs;
         std::vector<std::size_t> worker_indices;
-        resources per_task;
+        resources freed_per_task;
         double cost = 0.0;                  ///< Core-seconds of work that would be lost.
         double expected_remaining_ms = 0.0; ///< Until the last run is expected to end.
         bool ends_soon = false;             ///< Not stopped, since it is expected to end soon.
--- a/src/libjobs/placement_search.cpp
+++ b/src/libjobs/placement_search.cpp
@@ -24,10 +24,7 @@
         return 0;
     }
     const resources& available = worker.available;
-    resources need = step.per_task;
-    if (step.best_effort_cpu) {
-        need.cpu_millis = 0;
-    }
+    const resources need = counted_resources(step);
     std::int64_t count = std::numeric_limits<std::uint32_t>::max();
     const auto limit = [&count](std::int64_t available_amount, std::int64_t needed) {
         if (needed > 0) {
@@ -158,6 +155,15 @@
 
 } // namespace
 
+resources counted_resources(const step_definition& step)
+{
+    resources counted = step.per_task;
+    if (step.best_effort_cpu) {
+        counted.cpu_millis = 0;
+    }
+    return counted;
+}
+
 std::vector<std::size_t> find_placement(const placement_request& request,
                                         std::span<const worker_availability> workers)
 {
--- a/src/libjobs/placement_search.h
+++ b/src/libjobs/placement_search.h
@@ -28,6 +28,9 @@
     std::uint32_t tasks_of_step = 0;
 };
 
+/// The resources of a task that count against the capacity of its worker.
+[[nodiscard]] resources counted_resources(const step_definition& step);
+
 struct placement_request {
     const step_definition* step = nullptr;
     /// Number of tasks to place; for a gang all of its tasks.
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -253,10 +253,7 @@
         for (const run_id& run : this->state.runs_on(incarnation)) {
             const job_record* const job = this->state.find(run.task.job);
             const step_definition& step = job->definition.steps[run.task.step];
-            worker.available -= step.per_task;
-            if (step.best_effort_cpu) {
-                worker.available.cpu_millis += step.per_task.cpu_millis;
-            }
+            worker.available -= counted_resources(step);
         }
         round.ids.push_back(incarnation);
         round.availability.push_back(worker);
@@ -401,11 +398,7 @@
         command.runs.push_back({{id, number}, round.ids[worker_indices[each]]});
         this->runs[{id, number}].started_at = round.now;
         this->runs[{id, number}].last_progress = round.now;
-        resources& available = round.availability[worker_indices[each]].available;
-        available -= step.per_task;
-        if (step.best_effort_cpu) {
-            available.cpu_millis += step.per_task.cpu_millis;
-        }
+        round.availability[worker_indices[each]].available -= counted_resources(step);
     }
     round.result.assignments.push_back(std::move(command));
 }
--- a/src/libjobs/scheduler_capacity_test.cpp
+++ b/src/libjobs/scheduler_capacity_test.cpp
@@ -12,6 +12,17 @@
     return {{job, 0, 0, index}, 1};
 }
 
+void submit_with_needs(world& w, const std::string& job, const std::string& queue,
+                       const resources& per_task, bool best_effort_cpu = false,
+                       const std::string& key = "key")
+{
+    step_definition step;
+    step.estimate_ms = 5000;
+    step.per_task = per_task;
+    step.best_effort_cpu = best_effort_cpu;
+    w.submit_step(job, queue, step, key);
+}
+
 /// Announces another number of accelerators.
 void announce_accelerators(world& w, const std::string& worker, std::int64_t accelerators,
                            const std::vector<run_progress>& running = {})
@@ -49,3 +60,31 @@
     w.submit("cores", "batch", 1, 0);
     CHECK(w.decide().assignments.size() == 1);
 }
+
+// Failure: a run is evicted for CPU that it does not occupy, and the step that needs it still does
+// not fit.
+TEST_CASE("an eviction does not free CPU that is not counted")
+{
+    world w;
+    w.add_worker("a", "r1");
+    submit_with_needs(w, "protected", "urgent", {24000, 1000, 0});
+    submit_with_needs(w, "filler", "batch", {24000, 1000, 0}, true, "other");
+    REQUIRE(w.decide().assignments.size() == 2);
+    w.report("a", {{first_run("protected"), "", 10}, {first_run("filler"), "", 10}});
+    submit_with_needs(w, "claim", "urgent", {16000, 1000, 0});
+    const schedule made = w.decide();
+    CHECK(made.evictions.empty());
+    REQUIRE(made.waiting.size() == 1);
+    CHECK(made.waiting.front().reason == wait_reason::no_room);
+}
+
+// Failure: a step whose CPU is not counted reserves CPU, and others cannot use it.
+TEST_CASE("a reservation does not hold CPU that is not counted")
+{
+    world w;
+    w.add_worker_with_borrower();
+    submit_with_needs(w, "claim", "urgent", {32000, 1000, 8}, true);
+    REQUIRE(w.decide().evictions.size() == 1);
+    submit_with_needs(w, "cores", "batch", {16000, 1000, 0});
+    CHECK(w.decide().assignments.size() == 1);
+}
--- a/src/libjobs/scheduler_eviction.cpp
+++ b/src/libjobs/scheduler_eviction.cpp
@@ -140,7 +140,7 @@
             victim& unit = by_unit[{run.task.job, run.task.occurrence, run.task.step, index}];
             unit.runs.push_back(run);
             unit.worker_indices.push_back(each);
-            unit.per_task = step.per_task;
+            unit.freed_per_task = counted_resources(step);
             const auto known = this->runs.find(run);
             const double seconds =
                 known == this->runs.end()
@@ -168,7 +168,7 @@
     std::sort(found.begin(), found.end(), [](const victim& left, const victim& right) {
         const auto cost_per_core = [](const victim& of) {
             const double freed =
-                static_cast<double>(of.runs.size()) * core_equivalents(of.per_task);
+                static_cast<double>(of.runs.size()) * core_equivalents(of.freed_per_task);
             return of.cost / std::max(freed, 0.001);
         };
         return cost_per_core(left) < cost_per_core(right);
@@ -195,10 +195,10 @@
     const auto change = [&availability](const victim& unit, int sign) {
         for (const std::size_t place : unit.worker_indices) {
             if (sign > 0) {
-                availability[place].available += unit.per_task;
+                availability[place].available += unit.freed_per_task;
             }
             else {
-                availability[place].available -= unit.per_task;
+                availability[place].available -= unit.freed_per_task;
             }
         }
     };
--- a/src/libjobs/scheduler_reservations.cpp
+++ b/src/libjobs/scheduler_reservations.cpp
@@ -18,7 +18,7 @@
     this->drop_reservation(round, pending.id());
     reservation made;
     made.made_at = round.now;
-    made.per_task = pending.definition().per_task;
+    made.per_task = counted_resources(pending.definition());
     made.urgency_class = pending.urgency_class;
     for (const std::size_t place : plan.worker_indices) {
         made.workers.push_back(round.ids[place]);
