Count runs that a worker lists but that are assigned no more (LIMIT)

What callers see: when the first member of a gang to end has ended as done, new runs are started on the workers of the other members while these still run or are being stopped. Cause: the end of one member unassigns all, and only assigned runs were counted against the capacity. Evidence: "a run that a worker lists counts against its capacity when it is assigned no more" failed before: the worker of the second member, which still listed it, got a run that needs all of it. "nothing is placed on a worker that lists a run whose needs are unknown" failed before as well. Change: the runs of a worker's last report count until a report or an end says that they are over. Ruled out: the state being behind on a new leader, which leads only once the entries of earlier terms are applied. Not covered: a member that no report has listed yet when the end of another member is recorded.

--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -172,6 +172,8 @@
 private:
     struct tracked_worker {
         worker_description description;
+        /// Runs in its last report that have not ended since.
+        std::set<run_id> listed;
         steady_time permit_until;
         /// When the last poll of its supervisor was answered; empty once the next poll has arrived.
         std::optional<steady_time> poll_answered_at;
@@ -248,6 +250,10 @@
     [[nodiscard]] double expected_remaining_ms(const scheduling_round& round,
                                                const run_id& run) const;
     [[nodiscard]] bool is_about_to_end(const scheduling_round& round, const run_id& run) const;
+    /// Resources of the runs that are assigned to the worker or listed by it. Empty when it lists a
+    /// run of an unknown job.
+    [[nodiscard]] std::optional<resources> occupied_resources(const worker_incarnation& incarnation,
+                                                              const tracked_worker& worker) const;
     void compute_available_resources(scheduling_round& round) const;
     [[nodiscard]] std::vector<pending_step> pending_steps(const scheduling_round& round) const;
     [[nodiscard]] std::set<std::string> guaranteed_jobs() const;
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -62,7 +62,9 @@
     known.description = worker;
     known.permit_until = now + this->options.permit_lifetime;
     known.poll_answered_at.reset();
+    known.listed.clear();
     for (const run_progress& each : running) {
+        known.listed.insert(each.run);
         tracked_run& run = this->runs[each.run];
         if (!run.listed || run.percent != each.percent) {
             run.last_progress = now;
@@ -113,6 +115,7 @@
 void scheduler::record_run_end(const worker_incarnation& worker, const ended_run& end)
 {
     tracked_worker& known = this->workers[worker];
+    known.listed.erase(end.run);
     if (end.outcome == run_outcome::done) {
         known.consecutive_failures = 0;
         known.suspect_until = steady_time();
@@ -244,17 +247,17 @@
         if (known.ended || known.permit_until < round.now) {
             continue;
         }
+        const std::optional<resources> occupied = this->occupied_resources(incarnation, known);
+        if (!occupied.has_value()) {
+            continue;
+        }
         worker_availability worker;
         worker.rack = known.description.rack;
         worker.capacity = known.description.capacity;
         worker.available = worker.capacity;
+        worker.available -= *occupied;
         worker.suspect = known.suspect_until > round.now;
         suspects += worker.suspect ? 1 : 0;
-        for (const run_id& run : this->state.runs_on(incarnation)) {
-            const job_record* const job = this->state.find(run.task.job);
-            const step_definition& step = job->definition.steps[run.task.step];
-            worker.available -= counted_resources(step);
-        }
         round.ids.push_back(incarnation);
         round.availability.push_back(worker);
     }
--- a/src/libjobs/scheduler_capacity_test.cpp
+++ b/src/libjobs/scheduler_capacity_test.cpp
@@ -88,3 +88,37 @@
     submit_with_needs(w, "cores", "batch", {16000, 1000, 0});
     CHECK(w.decide().assignments.size() == 1);
 }
+
+// Failure: the first member of a gang to end frees the resources of members that still run.
+TEST_CASE("a run that a worker lists counts against its capacity when it is assigned no more")
+{
+    world w;
+    w.add_worker("a", "r1");
+    w.add_worker("b", "r1");
+    w.submit("gang", "batch", 2, 8, true);
+    w.decide();
+    const run_id at_a = *w.state.runs_on(w.workers["a"].incarnation).begin();
+    const run_id at_b = *w.state.runs_on(w.workers["b"].incarnation).begin();
+    w.report("a", {{at_a, "", 99}});
+    w.report("b", {{at_b, "", 99}});
+    w.report("a");
+    w.end_run(at_a, run_outcome::done);
+    w.submit("next", "batch", 2, 8);
+    w.decide();
+    CHECK(w.workers_of("next") == std::set<std::string>{"a"});
+    w.report("b");
+    w.decide();
+    CHECK(w.workers_of("next") == std::set<std::string>{"a", "b"});
+}
+
+// Failure: a worker that lists a run of a job that was deleted is taken for idle.
+TEST_CASE("nothing is placed on a worker that lists a run whose needs are unknown")
+{
+    world w;
+    w.add_worker("a", "r1");
+    w.report("a", {{first_run("deleted"), "", 10}});
+    w.submit("job", "batch", 1, 1);
+    CHECK(w.decide().assignments.empty());
+    w.report("a");
+    CHECK(w.decide().assignments.size() == 1);
+}
