--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -157,6 +157,14 @@
     /// Records that the worker refused a start. It gets no new runs for a short time.
     void record_refused_start(const worker_incarnation& worker);
 
+    /// Capacity in the last report of the worker; empty when it has not reported.
+    [[nodiscard]] std::optional<resources>
+    announced_capacity(const worker_incarnation& worker) const;
+
+    /// Stops the runs that the worker has not confirmed, and their gangs, when not all runs on it
+    /// fit into its capacity. Returns what is stopped.
+    std::vector<eviction> withdraw_excess_starts(const worker_incarnation& worker);
+
     /// Performs a scheduling round. `now_unix_ms` is the wall clock time of the leader.
     [[nodiscard]] schedule decide(std::int64_t now_unix_ms);
 
--- a/src/include/redwingwheel/scheduler_service.h
+++ b/src/include/redwingwheel/scheduler_service.h
@@ -42,6 +42,10 @@
     void propose_ended_runs(const worker_incarnation& worker,
                             const std::vector<ended_run>& ended_runs);
     void release_refused_starts(const messages::worker_poll& poll);
+    void record_report(const messages::worker_poll& poll);
+    /// Returns the number of runs that are withdrawn.
+    std::size_t withdraw_excess_starts(const worker_incarnation& worker);
+    void log_evictions(const std::vector<eviction>& evictions);
     [[nodiscard]] messages::worker_poll_answer
     build_poll_answer(const worker_incarnation& worker) const;
     void answer_polls();
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -167,6 +167,11 @@
     round.now_unix_ms = now_unix_ms;
     this->remove_ended_entries();
     this->release_runs_of_lost_workers(round);
+    for (const auto& [worker, runs_on_worker] : this->state.assigned_runs()) {
+        const std::vector<eviction> withdrawn = this->withdraw_excess_starts(worker);
+        round.result.evictions.insert(round.result.evictions.end(), withdrawn.begin(),
+                                      withdrawn.end());
+    }
     this->stop_stalled(round);
     this->stop_incomplete_gangs(round);
     this->move_runs_off_draining_workers(round);
--- a/src/libjobs/scheduler_capacity_test.cpp
+++ b/src/libjobs/scheduler_capacity_test.cpp
@@ -122,3 +122,97 @@
     w.report("a");
     CHECK(w.decide().assignments.size() == 1);
 }
+
+// Failure: the capacity of a worker shrinks after runs were assigned, and they are started beyond
+// it.
+TEST_CASE("starts that are not confirmed are withdrawn when the capacity shrinks below them")
+{
+    world w;
+    w.add_worker("a", "r1");
+    w.submit("confirmed", "batch", 1, 2);
+    w.decide();
+    const std::vector<run_progress> running = {{first_run("confirmed"), "", 10}};
+    w.report("a", running);
+    w.submit("ordered", "batch", 2, 3);
+    w.decide();
+    REQUIRE(w.state.runs_on(w.workers["a"].incarnation).size() == 3);
+    announce_accelerators(w, "a", 8, running);
+    CHECK(w.decide().evictions.empty());
+    announce_accelerators(w, "a", 5, running);
+    // Either of them may have begun, so that the other would exceed the capacity.
+    CHECK(w.decide().evictions.size() == 2);
+    CHECK_FALSE(w.decisions.should_run(first_run("ordered", 0)));
+    CHECK_FALSE(w.decisions.should_run(first_run("ordered", 1)));
+    CHECK(w.decisions.should_run(first_run("confirmed")));
+}
+
+// Failure: an assignment that is committed after the capacity has shrunk is ordered before the next
+// scheduling round.
+TEST_CASE("a start committed after the capacity has shrunk is withdrawn before it is ordered")
+{
+    world w;
+    w.add_worker("a", "r1");
+    w.submit("job", "batch", 2, 4);
+    const schedule made = w.decisions.decide(w.unix_ms);
+    REQUIRE(made.assignments.size() == 1);
+    announce_accelerators(w, "a", 4);
+    w.state.apply(made.assignments.front());
+    CHECK(w.decisions.withdraw_excess_starts(w.workers["a"].incarnation).size() == 2);
+    CHECK_FALSE(w.decisions.should_run(first_run("job", 0)));
+    CHECK_FALSE(w.decisions.should_run(first_run("job", 1)));
+}
+
+// Failure: a run that is being stopped no longer counts, and starts that were ordered beside it
+// exceed the shrunk capacity.
+TEST_CASE("a run that is being stopped counts when starts are withdrawn")
+{
+    world w;
+    w.add_worker("a", "r1");
+    w.submit("borrower", "batch", 1, 4, false, false, "other");
+    w.decide();
+    const std::vector<run_progress> running = {{first_run("borrower"), "", 10}};
+    w.report("a", running);
+    w.submit("ordered", "batch", 1, 4);
+    w.decide();
+    w.state.apply(cancel_job{"borrower", w.unix_ms});
+    CHECK(w.decisions.should_run(first_run("ordered")));
+    announce_accelerators(w, "a", 4, running);
+    CHECK(w.decide().evictions.size() == 1);
+    CHECK_FALSE(w.decisions.should_run(first_run("ordered")));
+    w.state.apply(release_runs{{{first_run("ordered"), ""}}, w.unix_ms});
+    CHECK(w.decide().assignments.empty());
+    w.end_run(first_run("borrower"), run_outcome::stopped);
+    w.report("a");
+    CHECK(w.decide().assignments.size() == 1);
+}
+
+// Failure: some members of a gang are withdrawn and the others wait for them.
+TEST_CASE("a gang with a start that no longer fits is withdrawn as a whole")
+{
+    world w;
+    w.add_worker("a", "r1");
+    w.add_worker("b", "r1");
+    w.submit("gang", "batch", 2, 8, true);
+    w.decide();
+    announce_accelerators(w, "a", 4);
+    CHECK(w.decide().evictions.size() == 2);
+    CHECK_FALSE(w.decisions.should_run(first_run("gang", 0)));
+    CHECK_FALSE(w.decisions.should_run(first_run("gang", 1)));
+}
+
+// Failure: runs are stopped, and their work is lost, only because the capacity of their worker has
+// shrunk.
+TEST_CASE("confirmed runs go on when the capacity shrinks")
+{
+    world w;
+    w.add_worker("a", "r1");
+    w.submit("running", "batch", 2, 4);
+    w.decide();
+    const std::vector<run_progress> running = {{first_run("running", 0), "", 10},
+                                               {first_run("running", 1), "", 10}};
+    w.report("a", running);
+    announce_accelerators(w, "a", 0, running);
+    CHECK(w.decide().evictions.empty());
+    CHECK(w.decisions.should_run(first_run("running", 0)));
+    CHECK(w.decisions.should_run(first_run("running", 1)));
+}
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -36,6 +36,11 @@
     return fmt::format("{}.{}.{}.{}", id.job, id.occurrence, id.step, id.index);
 }
 
+std::string format_resources(const resources& each)
+{
+    return fmt::format("{}/{}/{}", each.cpu_millis, each.memory_mb, each.accelerators);
+}
+
 std::string_view command_result_name(command_result result)
 {
     switch (result) {
@@ -218,7 +223,7 @@
         this->job_scheduler.record_worker_end(ended.worker);
     }
     if (!poll->worker.incarnation.id.empty()) {
-        this->job_scheduler.record_report(poll->worker, poll->running);
+        this->record_report(*poll);
     }
     this->propose_ended_runs(poll->worker.incarnation, poll->ended_runs);
     this->release_refused_starts(*poll);
@@ -227,6 +232,39 @@
     this->polls[supervisor] = {*std::move(poll), answer, boot_clock::now() + max_poll_wait};
 }
 
+/// Logs a changed capacity. What no longer fits is withdrawn before the next orders are sent.
+void scheduler_service::record_report(const messages::worker_poll& poll)
+{
+    const worker_incarnation& worker = poll.worker.incarnation;
+    const std::optional<resources> before = this->job_scheduler.announced_capacity(worker);
+    this->job_scheduler.record_report(poll.worker, poll.running);
+    const resources& after = poll.worker.capacity;
+    if (!before.has_value() || *before == after) {
+        return;
+    }
+    const std::size_t withdrawn = this->withdraw_excess_starts(worker);
+    spdlog::info("event=worker_capacity_changed worker={} born={} before={} after={} runs={} "
+                 "withdrawn={}",
+                 worker.id, worker.started_unix_ms, format_resources(*before),
+                 format_resources(after), this->state.runs_on(worker).size(), withdrawn);
+}
+
+std::size_t scheduler_service::withdraw_excess_starts(const worker_incarnation& worker)
+{
+    const std::vector<eviction> withdrawn = this->job_scheduler.withdraw_excess_starts(worker);
+    this->log_evictions(withdrawn);
+    return withdrawn.size();
+}
+
+void scheduler_service::log_evictions(const std::vector<eviction>& evictions)
+{
+    for (const eviction& each : evictions) {
+        this->metrics.add("evictions_total");
+        spdlog::info("event=run_evicted job={} task={} run={} reason=\"{}\"", each.run.task.job,
+                     format_task(each.run.task), each.run.number, each.reason);
+    }
+}
+
 void scheduler_service::propose_ended_runs(const worker_incarnation& worker,
                                            const std::vector<ended_run>& ended_runs)
 {
@@ -329,6 +367,8 @@
     for (auto each = this->polls.begin(); each != this->polls.end();) {
         const waiting_poll& waiting = each->second;
         const worker_incarnation& worker = waiting.poll.worker.incarnation;
+        // An assignment may have been committed after the report that shows a smaller capacity.
+        this->withdraw_excess_starts(worker);
         messages::worker_poll_answer made = this->build_poll_answer(worker);
         if (made.orders_digest == waiting.poll.orders_digest && now < waiting.answer_deadline) {
             ++each;
@@ -542,11 +582,7 @@
 void scheduler_service::decide()
 {
     const schedule made = this->job_scheduler.decide(unix_ms());
-    for (const eviction& each : made.evictions) {
-        this->metrics.add("evictions_total");
-        spdlog::info("event=run_evicted job={} task={} run={} reason=\"{}\"", each.run.task.job,
-                     format_task(each.run.task), each.run.number, each.reason);
-    }
+    this->log_evictions(made.evictions);
     this->log_waiting(made.waiting);
     const auto on_committed = [this](const absl::StatusOr<command_result>& result) {
         if (!result.ok()) {
