Drop reservations on a worker whose capacity has shrunk (LIMIT)

What callers see: an urgent step waits up to 1.2 s for resources that are being freed on a worker that can no longer hold it, although another worker could. Cause: a reservation was kept until it was used or had expired, whatever its workers announced. Evidence: "a reservation on a worker that has shrunk is decided anew" failed before: no second eviction in the next round. Change: a report with less of any resource drops the reservations on that worker; the same round decides anew, and takes what is already being freed at no cost. Ruled out: checking whether the reserved tasks still fit. The plan may rest on other runs of the worker staying or going, so deciding anew is simpler and gives the same result where it still fits.

--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -59,6 +59,7 @@
         }
     }
     tracked_worker& known = this->workers[worker.incarnation];
+    this->record_capacity(known, worker);
     known.description = worker;
     known.permit_until = now + this->options.permit_lifetime;
     known.poll_answered_at.reset();
--- a/src/libjobs/scheduler_capacity.cpp
+++ b/src/libjobs/scheduler_capacity.cpp
@@ -33,6 +33,19 @@
     return occupied;
 }
 
+void scheduler::record_capacity(tracked_worker& known, const worker_description& report)
+{
+    if (known.description.incarnation != report.incarnation) {
+        return;
+    }
+    if (!known.description.capacity.fits_in(report.capacity)) {
+        std::erase_if(this->reservations, [&report](const auto& each) {
+            const std::vector<worker_incarnation>& held = each.second.workers;
+            return std::find(held.begin(), held.end(), report.incarnation) != held.end();
+        });
+    }
+}
+
 std::optional<resources> scheduler::announced_capacity(const worker_incarnation& worker) const
 {
     const auto found = this->workers.find(worker);
--- a/src/libjobs/scheduler_capacity_test.cpp
+++ b/src/libjobs/scheduler_capacity_test.cpp
@@ -216,3 +216,31 @@
     CHECK(w.decisions.should_run(first_run("running", 0)));
     CHECK(w.decisions.should_run(first_run("running", 1)));
 }
+
+// Failure: a step waits for a reservation on a worker that has shrunk, although another worker
+// could be freed for it.
+TEST_CASE("a reservation on a worker that has shrunk is decided anew")
+{
+    world w;
+    w.add_worker("a", "r1");
+    w.submit("cheap", "batch", 1, 8, false, false, "other");
+    w.decide();
+    w.advance_time(milliseconds(100));
+    w.add_worker("b", "r1");
+    w.submit("dear", "batch", 1, 8, false, false, "other");
+    w.decide();
+    const run_id cheap = first_run("cheap");
+    const run_id dear = first_run("dear");
+    w.report("a", {{cheap, "", 1}});
+    w.report("b", {{dear, "", 1}});
+    w.advance_time(milliseconds(200));
+    w.submit("owner", "urgent", 1, 8);
+    const schedule first = w.decide();
+    REQUIRE(first.evictions.size() == 1);
+    const bool chose_b = first.evictions.front().run == dear;
+    const std::string chosen = chose_b ? "b" : "a";
+    announce_accelerators(w, chosen, 4, {{chose_b ? dear : cheap, "", 1}});
+    const schedule second = w.decide();
+    REQUIRE(second.evictions.size() == 1);
+    CHECK(second.evictions.front().run == (chose_b ? cheap : dear));
+}
