Use a worker that has grown at once (LIMIT)

What callers see: a worker that refused a start for want of room, and grows right after, stays idle for 0.3 s. Cause: a refused start excludes the worker so that it can report its resources again, but the report itself did not end that. Evidence: "a worker that has grown gets runs at once" failed before. "a job that fits on no worker waits until one has grown" passed before: such a job stays queued, evicts nothing and is placed in the first round after the growth. Change: a report with more of any resource ends the exclusion. Each report triggers a round already. Ruled out: an exclusion for failures, which is kept apart (suspicion).

--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -259,7 +259,7 @@
                                                const run_id& run) const;
     [[nodiscard]] bool is_about_to_end(const scheduling_round& round, const run_id& run) const;
     /// Records the capacity in a report of the worker. Drops the reservations on a worker that has
-    /// shrunk.
+    /// shrunk; one that has grown may get runs again after a refused start.
     void record_capacity(tracked_worker& known, const worker_description& report);
     /// Resources of the runs that are assigned to the worker or listed by it. Empty when it lists a
     /// run of an unknown job.
--- a/src/libjobs/scheduler_capacity.cpp
+++ b/src/libjobs/scheduler_capacity.cpp
@@ -44,6 +44,9 @@
             return std::find(held.begin(), held.end(), report.incarnation) != held.end();
         });
     }
+    if (!report.capacity.fits_in(known.description.capacity)) {
+        known.excluded_until = steady_time();
+    }
 }
 
 std::optional<resources> scheduler::announced_capacity(const worker_incarnation& worker) const
--- a/src/libjobs/scheduler_capacity_test.cpp
+++ b/src/libjobs/scheduler_capacity_test.cpp
@@ -244,3 +244,38 @@
     REQUIRE(second.evictions.size() == 1);
     CHECK(second.evictions.front().run == (chose_b ? cheap : dear));
 }
+
+// Failure: a job that fits on no worker at present is given up, or it still waits after a worker
+// has grown.
+TEST_CASE("a job that fits on no worker waits until one has grown")
+{
+    world w;
+    w.add_worker("a", "r1");
+    announce_accelerators(w, "a", 0);
+    w.submit("job", "urgent", 1, 8);
+    w.submit("gang", "batch", 2, 8, true);
+    for (int round = 0; round < 20; ++round) {
+        w.advance_time(milliseconds(500));
+        w.report("a");
+        const schedule made = w.decide();
+        CHECK(made.assignments.empty());
+        CHECK(made.evictions.empty());
+    }
+    CHECK(w.state.find("job")->status == job_status::queued);
+    CHECK(w.state.find("gang")->status == job_status::queued);
+    announce_accelerators(w, "a", 8);
+    CHECK(w.decide().assignments.size() == 1);
+}
+
+// Failure: a worker that has refused a start for want of room is not used after it has grown.
+TEST_CASE("a worker that has grown gets runs at once")
+{
+    world w;
+    w.add_worker("a", "r1");
+    announce_accelerators(w, "a", 4);
+    w.decisions.record_refused_start(w.workers["a"].incarnation);
+    w.submit("job", "batch", 1, 4);
+    CHECK(w.decide().assignments.empty());
+    announce_accelerators(w, "a", 8);
+    CHECK(w.decide().assignments.size() == 1);
+}
