Leave exceeded accelerators out of the choice of a rack (LIMIT)

What callers see: a gang takes a larger rack than it needs, because a worker over its capacity hides idle accelerators of that rack. Cause: the free accelerators of a rack were summed with the negative amount of such a worker. Evidence: "a worker over its capacity does not change which rack a gang fits best" failed before. Change: a negative amount counts as none free. Ruled out: an effect on what fits; the sum only orders racks.

--- a/src/libjobs/placement_search.cpp
+++ b/src/libjobs/placement_search.cpp
@@ -90,7 +90,8 @@
 {
     return std::accumulate(candidates.begin(), candidates.end(), std::int64_t{0},
                            [workers](std::int64_t sum, std::size_t each) {
-                               return sum + workers[each].available.accelerators;
+                               return sum + std::max<std::int64_t>(
+                                                0, workers[each].available.accelerators);
                            });
 }
 
--- a/src/libjobs/scheduler_capacity_test.cpp
+++ b/src/libjobs/scheduler_capacity_test.cpp
@@ -279,3 +279,21 @@
     announce_accelerators(w, "a", 8);
     CHECK(w.decide().assignments.size() == 1);
 }
+
+// Failure: a worker that is over its capacity hides idle accelerators of its rack, and a gang takes
+// a rack that is larger than it needs.
+TEST_CASE("a worker over its capacity does not change which rack a gang fits best")
+{
+    world w;
+    w.add_worker("a", "r1");
+    w.submit("running", "batch", 1, 8);
+    w.decide();
+    announce_accelerators(w, "a", 0, {{first_run("running"), "", 10}});
+    for (const char* const id : {"b", "c"}) {
+        w.add_worker(id, "r1");
+    }
+    w.add_worker("d", "r2");
+    w.submit("gang", "batch", 2, 4, true, true);
+    w.decide();
+    CHECK(w.workers_of("gang") == std::set<std::string>{"d"});
+}
