--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -124,6 +124,7 @@
 };
 
 struct placement_request;
+struct worker_availability;
 
 /// Scheduler of the leader. Its volatile state is rebuilt from the workers' reports.
 class scheduler {
@@ -158,6 +159,14 @@
     /// worker gets no new runs for a short time.
     void record_refused_start(const worker_incarnation& worker, const run_id& run);
 
+    /// Capacity in the last report of the worker; empty when it has not reported.
+    [[nodiscard]] std::optional<resources>
+    announced_capacity(const worker_incarnation& worker) const;
+
+    /// Stops the runs that the worker has not confirmed, and their gangs, when not all runs on it
+    /// fit into its capacity. Returns what is stopped.
+    std::vector<eviction> withdraw_excess_starts(const worker_incarnation& worker);
+
     /// Performs a scheduling round. `now_unix_ms` is the wall clock time of the leader.
     [[nodiscard]] schedule decide(std::int64_t now_unix_ms);
 
@@ -177,11 +186,12 @@
 private:
     struct tracked_worker {
         worker_description description;
+        /// Runs in its last report that have not ended since.
+        std::set<run_id> listed;
         steady_time permit_until;
         /// When the last poll of its supervisor was answered; empty once the next poll has arrived.
         std::optional<steady_time> poll_answered_at;
         bool ended = false;
-        std::set<run_id> listed_runs; ///< Running according to the last report.
         steady_time suspect_until;
         steady_time excluded_until;
         std::uint32_t consecutive_failures = 0;
@@ -208,7 +218,7 @@
     struct victim {
         std::vector<run_id> runs;
         std::vector<std::size_t> worker_indices;
-        resources per_task;
+        resources freed_per_task;
         double cost = 0.0;                  ///< Core-seconds of work that would be lost.
         double expected_remaining_ms = 0.0; ///< Until the last run is expected to end.
         bool ends_soon = false;             ///< Not stopped, since it is expected to end soon.
@@ -255,6 +265,13 @@
     [[nodiscard]] double expected_remaining_ms(const scheduling_round& round,
                                                const run_id& run) const;
     [[nodiscard]] bool is_about_to_end(const scheduling_round& round, const run_id& run) const;
+    /// Records the capacity in a report of the worker. Drops the reservations on a worker that has
+    /// shrunk; one that has grown may get runs again after a refused start.
+    void record_capacity(tracked_worker& known, const worker_description& report);
+    /// Resources of the runs that are assigned to the worker or listed by it. Empty when it lists a
+    /// run of an unknown job.
+    [[nodiscard]] std::optional<resources> occupied_resources(const worker_incarnation& incarnation,
+                                                              const tracked_worker& worker) const;
     void compute_available_resources(scheduling_round& round) const;
     [[nodiscard]] std::vector<pending_step> pending_steps(const scheduling_round& round) const;
     [[nodiscard]] std::set<std::string> guaranteed_jobs() const;
@@ -281,7 +298,7 @@
     static void restore_reservations(scheduling_round& round, const pending_step& pending);
     static void for_each_competing_reservation(
         scheduling_round& round, const pending_step& pending,
-        const std::function<void(resources& available, const resources& per_task)>&);
+        const std::function<void(worker_availability& worker, const resources& per_task)>&);
     /// Runs of jobs whose priority number is above `protected_priority`, or all if it is empty, and
     /// runs that are about to end. Cheapest first per freed resources.
     [[nodiscard]] std::vector<victim>
--- a/src/libjobs/placement_search.h
+++ b/src/libjobs/placement_search.h
@@ -18,13 +18,19 @@
     bool eligible = false;
     /// Has failed work recently. Used only when no other worker fits.
     bool suspect = false;
+    /// Less what is reserved for other steps. Negative when more runs than the capacity allows.
     resources available;
+    /// Reserved for other steps.
+    resources reserved;
     /// Total resources of the worker.
     resources capacity;
     /// Number of tasks of the same step that are assigned to the worker.
     std::uint32_t tasks_of_step = 0;
 };
 
+/// The resources of a task that count against the capacity of its worker.
+[[nodiscard]] resources counted_resources(const step_definition& step);
+
 struct placement_request {
     const step_definition* step = nullptr;
     /// Number of tasks to place; for a gang all of its tasks.
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -63,14 +63,13 @@
         }
     }
     tracked_worker& known = this->workers[worker.incarnation];
+    this->record_capacity(known, worker);
     known.description = worker;
-    known.listed_runs.clear();
-    for (const run_progress& each : running) {
-        known.listed_runs.insert(each.run);
-    }
     known.permit_until = now + this->options.permit_lifetime;
     known.poll_answered_at.reset();
+    known.listed.clear();
     for (const run_progress& each : running) {
+        known.listed.insert(each.run);
         tracked_run& run = this->runs[each.run];
         if (!run.listed || run.percent != each.percent) {
             run.last_progress = now;
@@ -121,6 +120,7 @@
 void scheduler::record_run_end(const worker_incarnation& worker, const ended_run& end)
 {
     tracked_worker& known = this->workers[worker];
+    known.listed.erase(end.run);
     if (end.outcome == run_outcome::done) {
         known.consecutive_failures = 0;
         known.suspect_until = steady_time();
@@ -178,6 +178,11 @@
     round.now_unix_ms = now_unix_ms;
     this->remove_ended_entries();
     this->release_runs_of_lost_workers(round);
+    for (const auto& [worker, runs_on_worker] : this->state.assigned_runs()) {
+        const std::vector<eviction> withdrawn = this->withdraw_excess_starts(worker);
+        round.result.evictions.insert(round.result.evictions.end(), withdrawn.begin(),
+                                      withdrawn.end());
+    }
     this->stop_stalled(round);
     this->stop_incomplete_gangs(round);
     this->move_runs_off_draining_workers(round);
@@ -259,20 +264,17 @@
         if (known.ended || known.permit_until < round.now) {
             continue;
         }
+        const std::optional<resources> occupied = this->occupied_resources(incarnation, known);
+        if (!occupied.has_value()) {
+            continue;
+        }
         worker_availability worker;
         worker.rack = known.description.rack;
         worker.capacity = known.description.capacity;
         worker.available = worker.capacity;
+        worker.available -= *occupied;
         worker.suspect = known.suspect_until > round.now;
         suspects += worker.suspect ? 1 : 0;
-        for (const run_id& run : this->state.runs_on(incarnation)) {
-            const job_record* const job = this->state.find(run.task.job);
-            const step_definition& step = job->definition.steps[run.task.step];
-            worker.available -= step.per_task;
-            if (step.best_effort_cpu) {
-                worker.available.cpu_millis += step.per_task.cpu_millis;
-            }
-        }
         round.ids.push_back(incarnation);
         round.availability.push_back(worker);
     }
@@ -416,11 +418,7 @@
         command.runs.push_back({{id, number}, round.ids[worker_indices[each]]});
         this->runs[{id, number}].started_at = round.now;
         this->runs[{id, number}].last_progress = round.now;
-        resources& available = round.availability[worker_indices[each]].available;
-        available -= step.per_task;
-        if (step.best_effort_cpu) {
-            available.cpu_millis += step.per_task.cpu_millis;
-        }
+        round.availability[worker_indices[each]].available -= counted_resources(step);
     }
     round.result.assignments.push_back(std::move(command));
 }
--- a/src/libjobs/scheduler_runs.cpp
+++ b/src/libjobs/scheduler_runs.cpp
@@ -48,7 +48,7 @@
 {
     return std::any_of(this->workers.begin(), this->workers.end(), [&run, host](const auto& each) {
         return each.first.host == host && !each.second.ended &&
-               each.second.listed_runs.contains(run);
+               each.second.listed.contains(run);
     });
 }
 
