--- a/src/libjobs/scheduler_runs.cpp
+++ b/src/libjobs/scheduler_runs.cpp
@@ -47,8 +47,7 @@
 bool scheduler::is_listed_on_host(const run_id& run, std::string_view host) const
 {
     return std::any_of(this->workers.begin(), this->workers.end(), [&run, host](const auto& each) {
-        return each.first.host == host && !each.second.ended &&
-               each.second.listed.contains(run);
+        return each.first.host == host && !each.second.ended && each.second.listed.contains(run);
     });
 }
 
