Refuse JSON that nests deeper than 64 before a tree is built

What callers saw: POST /v1/jobs with parameters nested 450,000 deep (0.9 MB) ended the control daemon that leads with SIGSEGV, and no answer came. Sent to each entry, it took the quorum. Cause: json::dump, and the copy of a value, recurse once per level; parse and destruction do not. Nothing limited the depth. Evidence: testsuite/odd_documents on the code before: two of three control daemons ended with SIGSEGV, all checks failed. Ruled out: a larger stack, which only moves the bound. Members with a number out of range (1e400, 2^64, -2^63-1, a text, null) and an unknown field of 900,000 bytes were tried on the code before: each got 400 and no process ended. Change: libutil gets json_text::parse, which counts brackets in one pass before the parser runs and refuses a document that nests deeper than 64; the answer is 400 with the depth found and the limit. Job bodies are read with it.

--- a/src/libcontrol/operator_json.cpp
+++ b/src/libcontrol/operator_json.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include "redwingwheel/json_text.h"
+
 namespace redwingwheel::control {
 
 namespace {
@@ -324,9 +326,15 @@
 parsed_job parse_job_body(const parsed_call& call, const control_state& state)
 {
     parsed_job parsed;
-    const json body = json::parse(call.body, nullptr, false);
+    const absl::StatusOr<json> read = json_text::parse(call.body);
+    if (!read.ok()) {
+        const json_text::refusal why = json_text::describe_refusal(call.body);
+        parsed.refusal = answer_problem("body", why.found, why.allowed);
+        return parsed;
+    }
+    const json& body = *read;
     if (!body.is_object()) {
-        parsed.refusal = answer_problem("body", "(not readable)", "a JSON object");
+        parsed.refusal = answer_problem("body", body.type_name(), "a JSON object");
         return parsed;
     }
     field_reader reader(body);
--- /dev/null
+++ b/testsuite/odd_documents/run.sh
@@ -0,0 +1,58 @@
+#!/usr/bin/env bash
+# Hostile documents, headers and paths: each gets an answer of its own, and no process ends.
+# Usage: run.sh BIN_DIR
+source "$(dirname "$0")/../common.sh"
+suite_begin "$1" 25400
+account_token=$(cat "$example_dir/tokens/$account.token")
+
+# nested N: N arrays inside each other.
+nested() {
+    head -c "$1" /dev/zero | tr '\0' '['
+    head -c "$1" /dev/zero | tr '\0' ']'
+}
+
+# job_body ID PARAMETERS
+job_body() { printf '{"id":"%s","service":"inspections","parameters":%s}' "$1" "$2"; }
+
+# call TOKEN ENTRY_INDEX PATH CURL_ARGUMENT...: the body of the answer, followed by its status.
+call() {
+    local token=$1 index=$2 path=$3
+    shift 3
+    curl -s -m 10 -w ' %{http_code}' -H "Authorization: Bearer $token" "$@" \
+        "http://127.0.0.1:$((base_port + 20 + index))$path" 2>> "$suite_out/curl.err"
+}
+
+# answers STATUS TEXT COMMAND...: the answer has this status and contains the text.
+answers() {
+    local status=$1 text=$2
+    shift 2
+    "$@" > "$suite_out/answer"
+    grep -aq " $status\$" "$suite_out/answer" && grep -aqF "$text" "$suite_out/answer"
+}
+
+all_alive() {
+    local name
+    for name in "${!process_ids[@]}"; do
+        kill -0 "${process_ids[$name]}" || return 1
+    done
+}
+
+job_body deep "{\"a\":$(nested 450000)}" > "$suite_out/body"
+for index in 0 1 2; do
+    check "entry $index refuses a job that nests 450,002 deep" \
+        answers 400 '"value":"nested 450002 deep"' \
+        call "$account_token" "$index" /v1/jobs --data-binary "@$suite_out/body"
+done
+check "the answer names the limit" grep -qF '"allowed":"nested at most 64 deep"' "$suite_out/answer"
+job_body deep-65 "$(nested 64)" > "$suite_out/body"
+check "65 levels are refused" answers 400 '"value":"nested 65 deep"' \
+    call "$account_token" 0 /v1/jobs --data-binary "@$suite_out/body"
+job_body deep-64 "{\"run_ms\":100,\"a\":$(nested 62)}" > "$suite_out/body"
+check "64 levels are accepted" answers 200 '"id":"deep-64"' \
+    call "$account_token" 0 /v1/jobs --data-binary "@$suite_out/body"
+must_happen 20 job_is deep-64 done
+check "no process has ended over deep documents" all_alive
+
+check "every entry and worker serves" all_serving
+check "a request is still answered" ctl "$account" request send price-checks --file /dev/null
+suite_end
