Answer values that are not UTF-8 instead of ending the process

What callers saw: one request with a header X-Deadline-Ms that is not UTF-8 ended the entry's process (SIGABRT); a query value that is not UTF-8, for instance GET /v1/jobs?limit=\xff, ended the control daemon that leads. Any caller with a token can send these, to each entry in turn. Cause: json::dump throws on strings that are not UTF-8, and an answer about a bad value quotes it. Answers are built on the control thread, where an exception ends the process. Evidence: on the code before, testsuite/odd_documents without its part on depth found one process ended after the header alone, and one after the query alone (trials of both parts by themselves). With this change all its checks pass. Ruled out: texts from parsed JSON, which the parser has checked; paths, which no answer quotes (tried on the code before: 404, no process ended). Change: answers of entries and control are written with json_text::dump, which writes U+FFFD for such bytes.

--- a/src/libcontrol/operator_json.cpp
+++ b/src/libcontrol/operator_json.cpp
@@ -91,7 +91,8 @@
     {
         if (!this->refusal.has_value()) {
             this->refusal = answer_problem(
-                name, value.is_string() ? value.get<std::string>() : value.dump(), allowed);
+                name, value.is_string() ? value.get<std::string>() : json_text::dump(value),
+                allowed);
         }
     }
 
@@ -221,7 +222,7 @@
 
 messages::operator_answer answer_json(int status, const json& body)
 {
-    return {status, body.dump()};
+    return {status, json_text::dump(body)};
 }
 
 messages::operator_answer answer_refusal(int status, std::string_view reason)
@@ -359,7 +360,7 @@
                   job.priority);
     job.members = static_cast<std::uint32_t>(members);
     job.accelerators_per_member = static_cast<std::uint32_t>(accelerators);
-    job.parameters = body.contains("parameters") ? body["parameters"].dump() : "{}";
+    job.parameters = body.contains("parameters") ? json_text::dump(body["parameters"]) : "{}";
     if (job.parameters.size() > max_parameters_bytes) {
         reader.refuse("parameters", fmt::format("{} bytes", job.parameters.size()),
                       "at most 65536 bytes");
--- a/src/libentry/entry_service.cpp
+++ b/src/libentry/entry_service.cpp
@@ -6,10 +6,10 @@
 #include <thread>
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 #include <spdlog/spdlog.h>
 
 #include "redwingwheel/digest.h"
+#include "redwingwheel/json_text.h"
 #include "redwingwheel/packing.h"
 #include "request_flow.h"
 
@@ -52,7 +52,7 @@
 {
     http::server_response response;
     response.status = status;
-    response.body = json{{"outcome", outcome}, {"reason", reason}}.dump();
+    response.body = json_text::dump({{"outcome", outcome}, {"reason", reason}});
     response.headers = {{"X-Outcome", std::string(outcome)}};
     return response;
 }
@@ -62,11 +62,10 @@
 {
     http::server_response response;
     response.status = 400;
-    response.body =
-        json{{"outcome", "not_run"},
-             {"problems",
-              {{{"file", "request"}, {"field", field}, {"value", value}, {"allowed", allowed}}}}}
-            .dump();
+    response.body = json_text::dump(
+        {{"outcome", "not_run"},
+         {"problems",
+          {{{"file", "request"}, {"field", field}, {"value", value}, {"allowed", allowed}}}}});
     response.headers = {{"X-Outcome", "not_run"}};
     return response;
 }
@@ -166,7 +165,7 @@
                                       : this->unhealthy ? "draining"
                                                         : "no permit"},
                            {"revision", this->configuration.revision()}};
-        respond({healthy ? 200 : 503, "application/json", body.dump(), {}});
+        respond({healthy ? 200 : 503, "application/json", json_text::dump(body), {}});
         return;
     }
     if (request.path.starts_with(request_path)) {
--- a/src/libentry/request_flow.cpp
+++ b/src/libentry/request_flow.cpp
@@ -3,17 +3,15 @@
 #include <random>
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 #include <spdlog/spdlog.h>
 
+#include "redwingwheel/json_text.h"
 #include "redwingwheel/packing.h"
 
 namespace redwingwheel::entry {
 
 namespace {
 
-using nlohmann::json;
-
 /// Recording continues after the caller's deadline, so that a resend with the same key gets the
 /// recorded answer.
 constexpr milliseconds record_timeout{5000};
@@ -317,7 +315,7 @@
 {
     http::server_response response;
     response.status = status;
-    response.body = json{{"outcome", outcome}, {"reason", reason}}.dump();
+    response.body = json_text::dump({{"outcome", outcome}, {"reason", reason}});
     this->respond(response, outcome);
 }
 
--- a/testsuite/odd_documents/run.sh
+++ b/testsuite/odd_documents/run.sh
@@ -53,6 +53,22 @@
 must_happen 20 job_is deep-64 done
 check "no process has ended over deep documents" all_alive
 
+for index in 0 1 2; do
+    check "entry $index refuses a deadline that is not UTF-8" \
+        answers 400 '"field":"X-Deadline-Ms"' call "$account_token" "$index" \
+        /v1/requests/price-checks -H $'X-Deadline-Ms: \xff\xfe' -d x
+    check "entry $index takes any bytes in a key" answers 200 '' call "$account_token" "$index" \
+        /v1/requests/recounts -H "Idempotency-Key: $(date +%s)-"$'\xff' -d x
+    check "entry $index refuses a query value that is not UTF-8" answers 400 '"field":"limit"' \
+        call "$account_token" "$index" $'/v1/jobs?limit=\xff'
+    check "entry $index refuses a path that is not UTF-8" answers 404 not_run \
+        call "$account_token" "$index" $'/v1/jobs/\xff'
+    check "entry $index refuses a data centre that is not UTF-8" answers 404 not_run \
+        call "$(cat "$example_dir/tokens/ops.token")" "$index" \
+        $'/v1/data-centres/\xff/withdraw' -X POST
+done
+check "no process has ended over bytes that are not UTF-8" all_alive
+
 check "every entry and worker serves" all_serving
 check "a request is still answered" ctl "$account" request send price-checks --file /dev/null
 suite_end
