Read a state that is not a text as no state, in agents

What callers saw: nothing yet; found by a search for conversions outside a try. Cause: an agent reads "state" of its backend server's answers with json::value, which throws when the field has another type, on the control thread: a backend server that answers {"state": 5} ends the agent, and again after each restart while a task runs. Evidence: decode_task_state with the expression of before raised type_error.302 for a number, null, an object and an array (4 of 13 bodies), and read a body nested 1,000,000 deep. Ruled out: the other answers of backend servers, of which only the status is read. Change: the bodies that an agent exchanges about tasks are written and read in backend_messages, with json_text.

--- a/src/libagent/task_runner.cpp
+++ b/src/libagent/task_runner.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <spdlog/spdlog.h>
 
+#include "backend_messages.h"
 #include "redwingwheel/digest.h"
 
 namespace redwingwheel::agent {
@@ -34,11 +35,6 @@
 
 } // namespace
 
-std::string backend_task_id(const membership::task_key& task)
-{
-    return fmt::format("{}.{}.{}", task.job, task.epoch, task.member);
-}
-
 task_runner::task_runner(std::string_view backend_address, clock_function clock_source,
                          kernel::control_loop& control_loop, http::client& http_client,
                          membership::gang_participant& participant_of_worker,
@@ -98,28 +94,13 @@
     added.accelerators = static_cast<std::uint32_t>(std::popcount(action.accelerator_mask));
     added.usage_counted_until = this->clock();
     this->tasks[task] = added;
-    json parameters = json::parse(known->second.parameters, nullptr, false);
-    if (!parameters.is_object()) {
-        parameters = json::object();
-    }
-    json body = {{"id", backend_task_id(task)},
-                 {"job", task.job},
-                 {"epoch", task.epoch},
-                 {"member", task.member},
-                 {"account", known->second.account},
-                 {"service", known->second.service},
-                 {"accelerator_mask", action.accelerator_mask},
-                 {"lease_ms", remaining_ms(action.lease_deadline, this->clock())},
-                 {"parameters", parameters}};
-    if (parameters.contains("run_ms")) {
-        body["run_ms"] = parameters["run_ms"];
-    }
+    const std::string body = encode_task_start(
+        action, known->second, remaining_until(action.lease_deadline, this->clock()));
     spdlog::info("event=task_started task={} accelerators={:#x}", backend_task_id(task),
                  action.accelerator_mask);
-    this->send("POST", "/tasks", body.dump(),
-               [this, task](absl::StatusOr<http::client_response> reply) {
-                   this->on_start_reply(task, std::move(reply));
-               });
+    this->send("POST", "/tasks", body, [this, task](absl::StatusOr<http::client_response> reply) {
+        this->on_start_reply(task, std::move(reply));
+    });
 }
 
 void task_runner::on_start_reply(const membership::task_key& task,
@@ -216,8 +197,7 @@
         this->end_task(task, membership::task_outcome::unknown);
         return;
     }
-    const json body = json::parse(reply->body, nullptr, false);
-    const std::string state = body.is_object() ? body.value("state", "") : "";
+    const std::string state = decode_task_state(reply->body);
     if (state == "done") {
         this->end_task(task, membership::task_outcome::done);
     }
--- a/src/libagent/task_runner.h
+++ b/src/libagent/task_runner.h
@@ -83,7 +83,4 @@
     std::map<std::string, messages::usage_delta, std::less<>> usage;
 };
 
-/// Id of a task at the backend server: "JOB.EPOCH.MEMBER".
-[[nodiscard]] std::string backend_task_id(const membership::task_key& task);
-
 } // namespace redwingwheel::agent
