Fail a task whose stored parameters nest too deep, in agents

What callers saw: jobs with parameters nested up to 32,000 deep were accepted, and each agent that started one copied and wrote them recursively. Here they ran; the depth that a stack allows depends on its size and on the compiler's options. Cause: control did not limit the depth, and a job that is stored is sent to agents again after each restart. Ruled out: control itself, which stores the text and sends it on without reading it. Change: encode_task_start refuses such parameters, and the task ends as failed.

--- a/src/libagent/backend_messages.cpp
+++ b/src/libagent/backend_messages.cpp
@@ -13,11 +13,15 @@
     return fmt::format("{}.{}.{}", task.job, task.epoch, task.member);
 }
 
-std::string encode_task_start(const membership::start_task& start,
-                              const messages::task_description& job, milliseconds lease)
+absl::StatusOr<std::string> encode_task_start(const membership::start_task& start,
+                                              const messages::task_description& job,
+                                              milliseconds lease)
 {
-    const json read = json::parse(job.parameters, nullptr, false);
-    const bool is_object = read.is_object();
+    const absl::StatusOr<json> read = json_text::parse(job.parameters);
+    if (error_code<json_text::json_errc>(read.status()) == json_text::json_errc::too_deep) {
+        return read.status();
+    }
+    const bool is_object = read.ok() && read->is_object();
     json body = {{"id", backend_task_id(start.task)},
                  {"job", start.task.job},
                  {"epoch", start.task.epoch},
@@ -26,9 +30,9 @@
                  {"service", job.service},
                  {"accelerator_mask", start.accelerator_mask},
                  {"lease_ms", lease.count()},
-                 {"parameters", is_object ? read : json::object()}};
-    if (is_object && read.contains("run_ms")) {
-        body["run_ms"] = read["run_ms"];
+                 {"parameters", is_object ? *read : json::object()}};
+    if (is_object && read->contains("run_ms")) {
+        body["run_ms"] = (*read)["run_ms"];
     }
     return json_text::dump(body);
 }
--- a/src/libagent/task_runner.cpp
+++ b/src/libagent/task_runner.cpp
@@ -94,11 +94,17 @@
     added.accelerators = static_cast<std::uint32_t>(std::popcount(action.accelerator_mask));
     added.usage_counted_until = this->clock();
     this->tasks[task] = added;
-    const std::string body = encode_task_start(
+    const absl::StatusOr<std::string> body = encode_task_start(
         action, known->second, remaining_until(action.lease_deadline, this->clock()));
+    if (!body.ok()) {
+        spdlog::warn("event=task_not_started task={} reason=\"{}\"", backend_task_id(task),
+                     errors::message_of(body.status()));
+        this->end_task(task, membership::task_outcome::failed);
+        return;
+    }
     spdlog::info("event=task_started task={} accelerators={:#x}", backend_task_id(task),
                  action.accelerator_mask);
-    this->send("POST", "/tasks", body, [this, task](absl::StatusOr<http::client_response> reply) {
+    this->send("POST", "/tasks", *body, [this, task](absl::StatusOr<http::client_response> reply) {
         this->on_start_reply(task, std::move(reply));
     });
 }
