Shorten values from outside in answers and log lines

What callers saw: a job with an unknown field whose name has 900,000 bytes got an answer that repeats it; a configuration whose route has a name of 1 MB and a line break wrote both into the log, where the text after the break reads as a line of its own. Cause: only the problems of settings and release notes shortened the value found and replaced control characters.

--- a/src/libconfig/problems.cpp
+++ b/src/libconfig/problems.cpp
@@ -7,30 +7,16 @@
 
 #include "redwingwheel/errors.h"
 #include "redwingwheel/packing.h"
+#include "redwingwheel/printable.h"
 
 namespace redwingwheel::config {
 
 namespace {
 
 constexpr absl::string_view problems_payload = "redwingwheel/config/problems";
-/// Longer values say no more about what is wrong and could fill a log.
-constexpr std::size_t max_shown_bytes = 80;
 /// A document of another kind would give a line for each of its keys.
 constexpr std::size_t max_problems = 100;
 
-std::string printable(std::string_view text)
-{
-    std::string shown;
-    for (const char letter : text.substr(0, max_shown_bytes)) {
-        const unsigned char byte = static_cast<unsigned char>(letter);
-        shown += byte < 0x20 || byte >= 0x7f ? '?' : letter;
-    }
-    if (text.size() > max_shown_bytes) {
-        shown += "...";
-    }
-    return shown;
-}
-
 } // namespace
 
 std::string_view error_layer(config_errc)
--- a/src/libcontrol/operator_json.cpp
+++ b/src/libcontrol/operator_json.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "redwingwheel/json_text.h"
+#include "redwingwheel/printable.h"
 
 namespace redwingwheel::control {
 
@@ -233,8 +234,10 @@
 messages::operator_answer answer_problem(std::string_view field, std::string_view value,
                                          std::string_view allowed)
 {
-    const json problem = {
-        {"file", "request"}, {"field", field}, {"value", value}, {"allowed", allowed}};
+    const json problem = {{"file", "request"},
+                          {"field", printable(field)},
+                          {"value", printable(value)},
+                          {"allowed", allowed}};
     return answer_json(400, {{"outcome", "not_run"}, {"problems", json::array({problem})}});
 }
 
--- a/src/libentry/entry_service.cpp
+++ b/src/libentry/entry_service.cpp
@@ -11,6 +11,7 @@
 #include "redwingwheel/digest.h"
 #include "redwingwheel/json_text.h"
 #include "redwingwheel/packing.h"
+#include "redwingwheel/printable.h"
 #include "request_flow.h"
 
 namespace redwingwheel::entry {
@@ -62,10 +63,12 @@
 {
     http::server_response response;
     response.status = 400;
-    response.body = json_text::dump(
-        {{"outcome", "not_run"},
-         {"problems",
-          {{{"file", "request"}, {"field", field}, {"value", value}, {"allowed", allowed}}}}});
+    response.body = json_text::dump({{"outcome", "not_run"},
+                                     {"problems",
+                                      {{{"file", "request"},
+                                        {"field", field},
+                                        {"value", printable(value)},
+                                        {"allowed", allowed}}}}});
     response.headers = {{"X-Outcome", "not_run"}};
     return response;
 }
--- a/testsuite/odd_documents/run.sh
+++ b/testsuite/odd_documents/run.sh
@@ -69,6 +69,19 @@
 done
 check "no process has ended over bytes that are not UTF-8" all_alive
 
+{
+    printf '{"service":"inspections","'
+    head -c 900000 /dev/zero | tr '\0' 'n'
+    printf '":1}'
+} > "$suite_out/body"
+check "an unknown field with a name of 900,000 bytes is refused" answers 400 '"field":"nnn' \
+    call "$account_token" 0 /v1/jobs --data-binary "@$suite_out/body"
+check "the answer does not repeat the whole name" [ "$(wc -c < "$suite_out/answer")" -lt 1000 ]
+for number in 1e400 -1 1.5 18446744073709551616 -9223372036854775809 '"4"' null; do
+    check "members $number is refused" answers 400 not_run call "$account_token" 0 /v1/jobs \
+        -d "{\"service\":\"inspections\",\"members\":$number}"
+done
+
 check "every entry and worker serves" all_serving
 check "a request is still answered" ctl "$account" request send price-checks --file /dev/null
 suite_end
