Refuse deeply nested lines of a trace with one short line

What callers saw: redwingwheel-replay ended with SIGSEGV on a line whose unknown field nests 300,000 deep. Cause: the error about a bad field quotes its value with json::dump, which recurses once per level, and repeats a long value in full. Evidence: the program of before ends with status 139 on such a trace, this one with status 2 and "line: nested 300001 deep; allowed: nested at most 64 deep". Change: lines of traces are read with json_text::parse, and values in errors are shown with printable.

--- a/src/redwingwheel-replay/replay_test.cpp
+++ b/src/redwingwheel-replay/replay_test.cpp
@@ -57,6 +57,25 @@
     REQUIRE(error_of("").starts_with("t.jsonl:1: type: missing"));
 }
 
+// Failure: a deeply nested line overflows the stack, and a long value fills the terminal.
+TEST_CASE("a hostile line is one short error", "[replay]")
+{
+    const std::string deep = std::string(300'000, '[') + std::string(300'000, ']');
+    REQUIRE(error_of(header + R"({"type":"account","name":"x","colour":)" + deep + "}") ==
+            "t.jsonl:4: line: nested 300001 deep; allowed: nested at most 64 deep");
+    for (const std::string& value :
+         {std::string("1e400"), "\"" + std::string(1'000'000, 'n') + "\"", std::string("\"\xff\""),
+          std::string("-9223372036854775809"), std::string("[[1]]"), std::string("\"\\n\"")}) {
+        const std::string error =
+            error_of(header + R"({"type":"worker_lost","worker":"w0","at_ms":)" + value + "}");
+        CAPTURE(error);
+        REQUIRE_FALSE(error.empty());
+        REQUIRE(error.size() < 300);
+        REQUIRE(std::all_of(error.begin(), error.end(),
+                            [](char letter) { return letter >= 0x20 && letter < 0x7f; }));
+    }
+}
+
 // Guards against replays that differ from run to run, and against a seed that changes nothing.
 TEST_CASE("the same trace and seed give the same bytes", "[replay]")
 {
--- a/src/redwingwheel-replay/trace_fields.cpp
+++ b/src/redwingwheel-replay/trace_fields.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "redwingwheel/json_text.h"
+
 namespace redwingwheel::replay {
 
 namespace {
@@ -15,10 +17,15 @@
 
 trace_fields::trace_fields(std::string_view text)
 {
-    this->line = nlohmann::json::parse(text.begin(), text.end(), nullptr, false);
-    if (!this->line.is_object()) {
-        throw bad_field("line", std::string(text.substr(0, 40)), "one JSON object per line");
+    absl::StatusOr<nlohmann::json> read = json_text::parse(text);
+    if (error_code<json_text::json_errc>(read.status()) == json_text::json_errc::too_deep) {
+        const json_text::refusal why = json_text::describe_refusal(text);
+        throw bad_field("line", why.found, why.allowed);
+    }
+    if (!read.ok() || !read->is_object()) {
+        throw bad_field("line", text, "one JSON object per line");
     }
+    this->line = *std::move(read);
 }
 
 const nlohmann::json* trace_fields::find(std::string_view field)
@@ -37,7 +44,8 @@
 {
     const nlohmann::json* const value = this->find(field);
     if (value == nullptr || !value->is_string() || value->get<std::string>().empty()) {
-        throw bad_field(field, value == nullptr ? "missing" : value->dump(), "a text, not empty");
+        throw bad_field(field, value == nullptr ? "missing" : json_text::dump(*value),
+                        "a text, not empty");
     }
     return value->get<std::string>();
 }
@@ -58,7 +66,7 @@
     const bool is_text = value != nullptr && value->is_string();
     if (!is_text ||
         std::find(allowed.begin(), allowed.end(), value->get<std::string>()) == allowed.end()) {
-        throw bad_field(field, value == nullptr ? "missing" : value->dump(),
+        throw bad_field(field, value == nullptr ? "missing" : json_text::dump(*value),
                         fmt::format("{}", fmt::join(allowed, ", ")));
     }
     return value->get<std::string>();
@@ -69,7 +77,7 @@
     const nlohmann::json* const value = this->find(field);
     if (value == nullptr || !value->is_number_unsigned() || value->get<std::uint64_t>() < low ||
         value->get<std::uint64_t>() > high) {
-        throw bad_field(field, value == nullptr ? "missing" : value->dump(),
+        throw bad_field(field, value == nullptr ? "missing" : json_text::dump(*value),
                         fmt::format("a whole number from {} to {}", low, high));
     }
     return value->get<std::uint64_t>();
@@ -86,7 +94,8 @@
     const nlohmann::json* const value = this->find(field);
     if (value == nullptr || !value->is_number_unsigned() ||
         value->get<std::uint64_t>() > max_time_ms) {
-        throw bad_field(field, value == nullptr ? "missing" : value->dump(), time_allowed);
+        throw bad_field(field, value == nullptr ? "missing" : json_text::dump(*value),
+                        time_allowed);
     }
     return milliseconds(value->get<std::int64_t>());
 }
@@ -101,7 +110,7 @@
     const nlohmann::json* const value = this->find(field);
     if (value == nullptr || !value->is_number() || value->get<double>() < low ||
         value->get<double>() > high) {
-        throw bad_field(field, value == nullptr ? "missing" : value->dump(),
+        throw bad_field(field, value == nullptr ? "missing" : json_text::dump(*value),
                         fmt::format("a number from {} to {}", low, high));
     }
     return value->get<double>();
@@ -114,7 +123,7 @@
         return fallback;
     }
     if (!value->is_boolean()) {
-        throw bad_field(field, value->dump(), "true, false");
+        throw bad_field(field, json_text::dump(*value), "true, false");
     }
     return value->get<bool>();
 }
@@ -123,7 +132,7 @@
 {
     for (const auto& [field, value] : this->line.items()) {
         if (!this->known.contains(field)) {
-            throw bad_field(field, value.dump(),
+            throw bad_field(field, json_text::dump(value),
                             fmt::format("only the fields {}", fmt::join(this->known, ", ")));
         }
     }
--- a/src/redwingwheel-replay/trace_fields.h
+++ b/src/redwingwheel-replay/trace_fields.h
@@ -10,14 +10,16 @@
 #include <nlohmann/json.hpp>
 
 #include "redwingwheel/clock.h"
+#include "redwingwheel/printable.h"
 
 namespace redwingwheel::replay {
 
 /// A line of a trace that is not as the format says. Never leaves the trace reader.
 class bad_field : public std::runtime_error {
 public:
-    bad_field(std::string_view field, const std::string& value, std::string_view allowed)
-        : std::runtime_error(fmt::format("{}: {}; allowed: {}", field, value, allowed))
+    bad_field(std::string_view field, std::string_view value, std::string_view allowed)
+        : std::runtime_error(
+              fmt::format("{}: {}; allowed: {}", printable(field), printable(value), allowed))
     {
     }
 };
