Refuse deep parameters and odd answers in redwingwheelctl

Cause: the tool copies and writes parameters and answers recursively, and reads answers with json::value, which throws. Evidence: before, the test of deep parameters ended with SIGSEGV and that of odd answers with type_error.302; testsuite/odd_documents showed the tool's SIGSEGV too. Change: parameters and answers are read with json_text::parse; a command that meets a field of another type prints one line and ends with status 1. Tests changed: the list of bad arguments that are not sent gets 1e400 and a text that is not UTF-8.

--- a/src/redwingwheelctl/command.cpp
+++ b/src/redwingwheelctl/command.cpp
@@ -5,8 +5,8 @@
 #include <ostream>
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
+#include "redwingwheel/json_text.h"
 #include "redwingwheel/release_note.h"
 #include "table.h"
 
@@ -40,9 +40,11 @@
     }
 }
 
+/// A discarded value when the body cannot be read or nests too deep to be printed.
 nlohmann::json parse_body(const std::string& body)
 {
-    return nlohmann::json::parse(body, nullptr, false);
+    const absl::StatusOr<nlohmann::json> read = json_text::parse(body);
+    return read.ok() ? *read : nlohmann::json(nlohmann::json::value_t::discarded);
 }
 
 } // namespace
--- a/src/redwingwheelctl/ctl_test.cpp
+++ b/src/redwingwheelctl/ctl_test.cpp
@@ -260,6 +260,45 @@
     }
 }
 
+// Failure: an answer with a field of another type, or nested deeply, ends the tool with a signal.
+TEST_CASE_METHOD(tool_fixture, "an answer that is not as documented is an error", "[ctl]")
+{
+    const std::string deep = std::string(300'000, '[') + std::string(300'000, ']');
+    const std::vector<std::pair<std::vector<std::string>, std::string>> cases{
+        {{"release", "apply", "note.yaml"}, R"({"in_force":5})"},
+        {{"release", "apply", "note.yaml", "--wait"}, R"({"in_force":"yes"})"},
+        {{"release", "diff", "1", "2"}, R"({"differences":[5]})"},
+        {{"release", "show", "1"}, R"({"note":)" + deep + "}"},
+        {{"release", "show", "1", "--json"}, R"({"note":)" + deep + "}"},
+        {{"job", "list"}, R"({"jobs":[],"more":[]})"},
+        {{"job", "show", "j"}, R"({"id":)" + deep + "}"},
+        {{"datacentre", "withdraw", "dc1"}, R"({"in_force":null})"},
+    };
+    for (const auto& [command, body] : cases) {
+        INFO(command[0] << " " << command[1] << " " << body.substr(0, 40));
+        fake_entry entry({{200, body, ""}});
+        std::vector<std::string> arguments = command;
+        arguments.insert(arguments.end(), {"--entry", entry.address()});
+        const tool_run read = this->run(arguments);
+        CHECK(read.status == 1);
+        CHECK(contains(read.err, "the answer is not"));
+        fake_entry refusing({{400, body, ""}});
+        arguments.back() = refusing.address();
+        CHECK(this->run(arguments).status == 2);
+    }
+}
+
+// Failure: deeply nested parameters overflow the stack of the tool.
+TEST_CASE_METHOD(tool_fixture, "deeply nested parameters are refused by the tool", "[ctl]")
+{
+    const std::string deep = std::string(300'000, '[') + std::string(300'000, ']');
+    const tool_run bad = this->run(
+        {"job", "submit", "--service", "s", "--entry", "127.0.0.1:9", "--parameters", deep});
+    CHECK(bad.status == 2);
+    CHECK(bad.err == "command line: --parameters: value nested 300000 deep: allowed nested at most "
+                     "64 deep\n");
+}
+
 // Guards against the outcome of a request being lost behind the status of a backend server.
 TEST_CASE_METHOD(tool_fixture, "a request's exit status follows its outcome", "[ctl]")
 {
@@ -282,6 +321,8 @@
         {"job", "submit"},
         {"job", "submit", "--service", "s", "--members", "513"},
         {"job", "submit", "--service", "s", "--parameters", "{"},
+        {"job", "submit", "--service", "s", "--parameters", "1e400"},
+        {"job", "submit", "--service", "s", "--parameters", "\"\xff\""},
         {"job", "show", "../status"},
         {"job", "list", "--state", "lost"},
         {"request", "send", "s", "--key", "nokey"},
--- a/src/redwingwheelctl/job_commands.cpp
+++ b/src/redwingwheelctl/job_commands.cpp
@@ -3,9 +3,9 @@
 #include <ostream>
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include "command.h"
+#include "redwingwheel/json_text.h"
 #include "redwingwheel/release_note.h"
 #include "table.h"
 
@@ -65,13 +65,16 @@
     if (!text.has_value()) {
         return;
     }
-    const nlohmann::json value = nlohmann::json::parse(*text, nullptr, false);
-    if (value.is_discarded()) {
+    const absl::StatusOr<nlohmann::json> value = json_text::parse(*text);
+    if (!value.ok()) {
         bad = true;
-        report_bad_argument(context, "--parameters", *text, "a JSON value");
+        const json_text::refusal why = json_text::describe_refusal(*text);
+        const bool deep =
+            error_code<json_text::json_errc>(value.status()) == json_text::json_errc::too_deep;
+        report_bad_argument(context, "--parameters", deep ? why.found : *text, why.allowed);
         return;
     }
-    job["parameters"] = value;
+    job["parameters"] = *value;
 }
 
 exit_status submit(const command_context& context)
--- a/src/redwingwheelctl/run.cpp
+++ b/src/redwingwheelctl/run.cpp
@@ -3,8 +3,10 @@
 #include <ostream>
 
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 #include "command.h"
+#include "redwingwheel/printable.h"
 #include "redwingwheel/socket_address.h"
 
 namespace redwingwheel::ctl {
@@ -222,7 +224,16 @@
         steady_time(), line.has("json"), out,    err};
     bool bad = false;
     context.deadline = around.clock() + time_for(context, bad);
-    return bad ? exit_status::bad_input : of.run(context);
+    if (bad) {
+        return exit_status::bad_input;
+    }
+    try {
+        return of.run(context);
+    }
+    catch (const nlohmann::json::exception& error) {
+        err << fmt::format("the answer is not as documented: {}\n", printable(error.what()));
+        return exit_status::refused;
+    }
 }
 
 } // namespace
--- a/testsuite/odd_documents/run.sh
+++ b/testsuite/odd_documents/run.sh
@@ -82,6 +82,12 @@
         -d "{\"service\":\"inspections\",\"members\":$number}"
 done
 
+ctl "$account" job submit --service inspections --parameters "$(nested 60000)" \
+    > /dev/null 2> "$suite_out/message"
+status=$?
+check "the tool refuses deep parameters with status 2" [ "$status" -eq 2 ]
+check "its line names the limit" grep -q 'nested at most 64 deep' "$suite_out/message"
+
 check "every entry and worker serves" all_serving
 check "a request is still answered" ctl "$account" request send price-checks --file /dev/null
 suite_end
