Name the limit when YAML nests deeper than its parser allows

What callers saw: settings or a release note nested more than 500 deep were refused with "value bad file: allowed YAML syntax". Cause: yaml-cpp's own limit ends the parse first, with an error that this project took for one of syntax. Ruled out: recursion of the converter (16 levels), expansion of aliases (200,000 values), duplicate keys. Change: the parser's limit is reported as the limit of this project, 16 levels.

--- a/src/libconfig/document.cpp
+++ b/src/libconfig/document.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <yaml-cpp/depthguard.h>
 #include <yaml-cpp/yaml.h>
 
 namespace redwingwheel::config {
@@ -176,6 +177,10 @@
     catch (const document_too_complex&) {
         add_too_complex(problems);
     }
+    catch (const YAML::DeepRecursion&) {
+        // The parser's own limit, which is higher.
+        add_too_complex(problems);
+    }
     catch (const YAML::Exception& error) {
         problems.add(fmt::format("line {}", error.mark.line + 1), error.msg, "YAML syntax");
     }
--- a/src/libconfig/mutation_test.cpp
+++ b/src/libconfig/mutation_test.cpp
@@ -234,6 +234,66 @@
     REQUIRE(accepted < mutations * 9 / 10);
 }
 
+// Failure: a hostile document overflows the stack, takes minutes, or is refused without the limit.
+TEST_CASE("hostile documents are refused with the limit that they exceed", "[mutation]")
+{
+    const auto repeated = [](std::string_view piece, std::size_t count) {
+        std::string text;
+        for (std::size_t index = 0; index < count; ++index) {
+            text += piece;
+        }
+        return text;
+    };
+    std::string aliases = "a0: &x0 [1, 1]\n";
+    for (int index = 1; index < 60; ++index) {
+        aliases += fmt::format("a{0}: &x{0} [*x{1}, *x{1}]\n", index, index - 1);
+    }
+    constexpr std::size_t many = 300'000;
+    const std::vector<std::string> too_complex{repeated("[", many),
+                                               repeated("[", many) + repeated("]", many),
+                                               repeated("{a: ", many),
+                                               repeated("- ", many),
+                                               "a: " + repeated("[", 17) + repeated("]", 17),
+                                               aliases,
+                                               "a: &a [*a]\n",
+                                               "[" + repeated("a,", many) + "]"};
+    for (const std::string& text : too_complex) {
+        INFO(text.substr(0, 40));
+        for (const absl::Status& status : {config::load_settings(text, "f").status(),
+                                           config::parse_release_note_yaml(text, "f").status()}) {
+            require_clean_lines(status);
+            CHECK(config::problem_lines(status).front().find("nested at most 16 deep") !=
+                  std::string::npos);
+        }
+    }
+    for (const std::string& text :
+         {repeated("[", many), repeated("{\"a\":", many), "[" + repeated("1,", many) + "1]"}) {
+        INFO(text.substr(0, 40));
+        const absl::Status status = config::parse_release_note_json(text, "f").status();
+        require_clean_lines(status);
+        CHECK(config::problem_lines(status).front().find("nested at most 16 deep") !=
+              std::string::npos);
+    }
+    for (const std::string& text :
+         {repeated("? ", many), repeated("&a ", many), repeated("---\n", many), repeated("!", many),
+          std::string(1000, '\0'), std::string("note: \xff\nbase: 0\n"),
+          std::string("note: n\nbase: 1e400\n"), std::string("note: n\nbase: .nan\n"),
+          std::string("note: n\nbase: -1\n"), std::string("note: n\nbase: 99999999999999999999\n"),
+          std::string("note: n\nnote: m\nbase: 0\n"), "note: " + repeated("n", many),
+          std::string("{\"note\":\"\xff\",\"base\":0}")}) {
+        INFO(text.substr(0, 40));
+        require_clean_lines(config::load_settings(text, "f").status());
+        require_clean_lines(config::parse_release_note_yaml(text, "f").status());
+        require_clean_lines(config::parse_release_note_json(text, "f").status());
+    }
+    for (const std::string port : {"0", "65536", "-1", "99999999999999999999", "1e3", "", "080x"}) {
+        INFO(port);
+        std::string text = settings_text;
+        text.replace(text.find("127.0.0.1:81"), 12, "127.0.0.1:" + port);
+        require_clean_lines(config::load_settings(text, "f").status());
+    }
+}
+
 // Guards against damaged notes that crash the parser or the configuration, or take effect in part.
 TEST_CASE("damaged notes take effect whole or not at all", "[mutation]")
 {
