Test of odd HTTP headers, request lines, and statuses that are passed on

Failure that it guards against: a header with a port out of range, a length beyond 64 bits or bytes that are not UTF-8, or a backend server's answer with any status and content type, that ends the process.

--- a/src/libhttp/http_test.cpp
+++ b/src/libhttp/http_test.cpp
@@ -415,6 +415,28 @@
             http::http_errc::lost_after_send);
 }
 
+// Failure: a status or content type that a backend server made up raises an exception on the thread
+// that passes its answer on.
+TEST_CASE("any status and content type can be passed on", "[http]")
+{
+    std::atomic<int> status = 0;
+    http::server server({}, [&status](const http::server_request&, const http::responder& respond) {
+        respond({status, "\xff/;=\t", "b", {{"X-Worker", "\xfe"}}});
+    });
+    const wire::address address = free_address();
+    REQUIRE(server.start(address).ok());
+    for (const int sent : {200, 299, 418, 599, 600, 999}) {
+        CAPTURE(sent);
+        status = sent;
+        http::client client({});
+        const absl::StatusOr<http::client_response> response =
+            get(client, address, "/", milliseconds(3000));
+        REQUIRE(response.ok());
+        CHECK(response->status == sent);
+        CHECK(response->body == "b");
+    }
+}
+
 // Guards against the loss of a request that arrives during a shutdown, while the server waits for
 // clients to disconnect.
 TEST_CASE("a shutdown waits for a request that arrives while clients disconnect", "[http]")
--- a/testsuite/odd_documents/run.sh
+++ b/testsuite/odd_documents/run.sh
@@ -30,6 +30,14 @@
     grep -aq " $status\$" "$suite_out/answer" && grep -aqF "$text" "$suite_out/answer"
 }
 
+# raw TEXT: the first line that an entry answers to these bytes.
+raw() {
+    exec 9<> "/dev/tcp/127.0.0.1/$((base_port + 20))"
+    printf '%b' "$1" >&9
+    timeout 3 head -n 1 <&9
+    exec 9>&-
+}
+
 all_alive() {
     local name
     for name in "${!process_ids[@]}"; do
@@ -88,6 +96,20 @@
 check "the tool refuses deep parameters with status 2" [ "$status" -eq 2 ]
 check "its line names the limit" grep -q 'nested at most 64 deep' "$suite_out/message"
 
+for header in 'Host: x:99999' 'Host: x:0' 'Host: x:-1' 'Host: [::1' 'Host: ' \
+    'Content-Length: 99999999999999999999' 'Content-Length: -1' 'Content-Length: x' \
+    'Content-Type: \0377/;=' 'Accept: ;q=9e999' 'Connection: \0377' 'Cookie: =;=;' \
+    'Cache-Control: max-age=99999999999999999999' 'Date: 99999999999999999999' 'Expect: \0377' \
+    'Transfer-Encoding: chunked\r\n\r\nFFFFFFFFFFFFFFFFFFFF' 'Authorization: \0377'; do
+    check "the header $header gets an answer" \
+        grep -aq '^HTTP/1.1 [2-4]' <(raw "GET /health HTTP/1.1\r\n$header\r\n\r\n")
+done
+for line in 'GET  HTTP/1.1' 'GET /%zz%ff%0 HTTP/1.1' 'GET /?=&&==%ff HTTP/1.1' '\0377\0376 / HTTP/1.1' \
+    'TRACE * HTTP/1.1'; do
+    check "the request $line gets an answer" grep -aq '^HTTP/1.1 [2-4]' <(raw "$line\r\n\r\n")
+done
+check "no process has ended over headers" all_alive
+
 check "every entry and worker serves" all_serving
 check "a request is still answered" ctl "$account" request send price-checks --file /dev/null
 suite_end
