--- a/src/libcontrol/operator_json.cpp
+++ b/src/libcontrol/operator_json.cpp
@@ -6,6 +6,9 @@
 
 #include <fmt/format.h>
 
+#include "redwingwheel/json_text.h"
+#include "redwingwheel/printable.h"
+
 namespace redwingwheel::control {
 
 namespace {
@@ -89,7 +92,8 @@
     {
         if (!this->refusal.has_value()) {
             this->refusal = answer_problem(
-                name, value.is_string() ? value.get<std::string>() : value.dump(), allowed);
+                name, value.is_string() ? value.get<std::string>() : json_text::dump(value),
+                allowed);
         }
     }
 
@@ -219,7 +223,7 @@
 
 messages::operator_answer answer_json(int status, const json& body)
 {
-    return {status, body.dump()};
+    return {status, json_text::dump(body)};
 }
 
 messages::operator_answer answer_refusal(int status, std::string_view reason)
@@ -230,8 +234,10 @@
 messages::operator_answer answer_problem(std::string_view field, std::string_view value,
                                          std::string_view allowed)
 {
-    const json problem = {
-        {"file", "request"}, {"field", field}, {"value", value}, {"allowed", allowed}};
+    const json problem = {{"file", "request"},
+                          {"field", printable(field)},
+                          {"value", printable(value)},
+                          {"allowed", allowed}};
     return answer_json(400, {{"outcome", "not_run"}, {"problems", json::array({problem})}});
 }
 
@@ -324,9 +330,15 @@
 parsed_job parse_job_body(const parsed_call& call, const control_state& state)
 {
     parsed_job parsed;
-    const json body = json::parse(call.body, nullptr, false);
+    const absl::StatusOr<json> read = json_text::parse(call.body);
+    if (!read.ok()) {
+        const json_text::refusal why = json_text::describe_refusal(call.body);
+        parsed.refusal = answer_problem("body", why.found, why.allowed);
+        return parsed;
+    }
+    const json& body = *read;
     if (!body.is_object()) {
-        parsed.refusal = answer_problem("body", "(not readable)", "a JSON object");
+        parsed.refusal = answer_problem("body", body.type_name(), "a JSON object");
         return parsed;
     }
     field_reader reader(body);
@@ -351,7 +363,7 @@
                   job.priority);
     job.members = static_cast<std::uint32_t>(members);
     job.accelerators_per_member = static_cast<std::uint32_t>(accelerators);
-    job.parameters = body.contains("parameters") ? body["parameters"].dump() : "{}";
+    job.parameters = body.contains("parameters") ? json_text::dump(body["parameters"]) : "{}";
     if (job.parameters.size() > max_parameters_bytes) {
         reader.refuse("parameters", fmt::format("{} bytes", job.parameters.size()),
                       "at most 65536 bytes");
