--- a/src/libjobs/scheduler_capacity_simulation_test.cpp
+++ b/src/libjobs/scheduler_capacity_simulation_test.cpp
@@ -348,7 +348,7 @@
             this->w.state.apply(record_ended_runs{description.incarnation, {end}, this->w.unix_ms});
         }
         for (const run_id& run : report.refused) {
-            this->w.decisions.record_refused_start(description.incarnation);
+            this->w.decisions.record_refused_start(description.incarnation, run);
             this->w.state.apply(release_runs{{{run, ""}}, this->w.unix_ms});
         }
     }
--- a/src/libjobs/scheduler_capacity_test.cpp
+++ b/src/libjobs/scheduler_capacity_test.cpp
@@ -273,7 +273,7 @@
     world w;
     w.add_worker("a", "r1");
     announce_accelerators(w, "a", 4);
-    w.decisions.record_refused_start(w.workers["a"].incarnation);
+    w.decisions.record_refused_start(w.workers["a"].incarnation, {{"refused", 0, 0, 0}, 1});
     w.submit("job", "batch", 1, 4);
     CHECK(w.decide().assignments.empty());
     announce_accelerators(w, "a", 8);
