Keep a renewal from changing the next incarnation with the same id (TWICE)

Cause: after a crash the supervisor went on renewing for the previous incarnation with its last recorded end and lease. A worker that had been restarted under the same id accepted them: it forgot ends that nobody had recorded and extended its lease. Evidence: 'a renewal for the previous incarnation changes the next one' failed before and passes now. Change: the first renewal after a failure, or under a new token, extends nothing and acknowledges no end; no renewal is sent for the present incarnation while one with the same id is unconfirmed.

--- a/src/libsupervisor/supervisor.cpp
+++ b/src/libsupervisor/supervisor.cpp
@@ -244,6 +244,9 @@
         spdlog::warn("event=incarnation_not_confirmed worker={} born={} reason={}", incarnation.id,
                      incarnation.started_unix_ms, is_other ? "other_incarnation" : "no_answer");
         this->unconfirmed.erase(found);
+        if (!this->renewing) {
+            this->renew();
+        }
         return;
     }
     if (listing.ok()) {
@@ -376,17 +379,28 @@
         this->renewing = false;
         return;
     }
+    const std::string& id = this->worker->incarnation.id;
+    const bool may_be_replaced =
+        std::any_of(this->unconfirmed.begin(), this->unconfirmed.end(),
+                    [&id](const auto& each) { return each.first.id == id; });
+    if (may_be_replaced) {
+        // The renewal would reach the incarnation that is to be confirmed.
+        this->renewing = false;
+        return;
+    }
     this->renewing = true;
     this->log_permit(this->has_permit());
     renew_request order;
     order.worker = this->worker->incarnation;
     order.fencing_token = this->fencing_token;
-    order.last_recorded_end = this->last_recorded_end;
-    // An immediate answer shows as early as possible that the worker can be reached again.
-    const bool may_wait = this->worker_clock.has_value() && this->worker->reachable;
-    order.wait = may_wait ? this->options.renewal_wait : milliseconds(0);
+    // After a failed renewal the worker may have been restarted under the same id. The first
+    // renewal then changes nothing and is answered at once.
+    const bool confirmed = this->worker_clock.has_value() && this->worker->reachable &&
+                           this->listed_token == this->fencing_token;
+    order.wait = confirmed ? this->options.renewal_wait : milliseconds(0);
+    order.last_recorded_end = confirmed ? this->last_recorded_end : 0;
     const std::optional<worker_time_ms> limit = this->lease_limit();
-    if (limit.has_value()) {
+    if (confirmed && limit.has_value()) {
         order.lease_until = std::min(*limit, *this->worker_clock + this->options.max_lease.count());
     }
     const std::uint64_t number = ++this->renewal_number;
@@ -729,6 +743,9 @@
     const steady_time now = this->clock();
     std::erase_if(this->unconfirmed,
                   [now](const auto& each) { return now >= each.second.expires_at; });
+    if (!this->renewing) {
+        this->renew();
+    }
     if (!this->worker.has_value() && this->ended_incarnations.empty() &&
         this->unconfirmed.empty()) {
         return;
--- a/src/libsupervisor/supervisor_test.cpp
+++ b/src/libsupervisor/supervisor_test.cpp
@@ -701,3 +701,32 @@
     w.replace_polls();
     CHECK(w.polls.back().poll.unconfirmed.size() == 1);
 }
+
+// Failure: after a restart under the same id a worker forgets ends that nobody has recorded, and
+// extends its lease for its predecessor.
+TEST_CASE("a renewal for the previous incarnation changes the next one")
+{
+    world w;
+    w.complete_start_up();
+    w.answer_renewal({}, {{1, run_one, run_outcome::done, ""}});
+    w.replace_polls();
+    w.answer_poll({}, {});
+    w.answer_renewal();
+    REQUIRE(w.port.renewals.back().order.lease_until > 0);
+    w.fail_renewal(worker_errc::no_answer);
+    REQUIRE_FALSE(w.port.renewals.empty());
+    CHECK(w.port.renewals.back().order.lease_until == 0);
+    CHECK(w.port.renewals.back().order.last_recorded_end == 0);
+    w.answer_renewal();
+    CHECK(w.port.renewals.back().order.lease_until > 0);
+
+    w.started_unix_ms = 9;
+    w.fail_renewal(worker_errc::no_answer);
+    w.announce();
+    w.replace_polls();
+    w.answer_token_request();
+    REQUIRE(w.port.renewals.back().order.worker.started_unix_ms == 9);
+    w.fail_renewal(worker_errc::no_answer);
+    REQUIRE(w.port.renewals.size() == 1);
+    CHECK(w.port.renewals.back().order.worker.started_unix_ms == 9);
+}
