Report which runs were on a worker that crashed

An incarnation that another one replaces without notice is reported as crashed, with the runs that it listed last or was ordered to start. Planned ends are not reported as crashes.

--- a/src/include/redwingwheel/job_messages.h
+++ b/src/include/redwingwheel/job_messages.h
@@ -26,7 +26,11 @@
     /// Ended runs that it listed and that the leader is not known to have recorded.
     std::vector<jobs::ended_run> ended_runs;
     std::string evidence; ///< How the supervisor learned of the end, for the log.
-    MSGPACK_DEFINE(worker, ended_runs, evidence)
+    /// It was replaced without notice while this process of the supervisor watched it.
+    bool crashed = false;
+    /// Runs that were listed last, or that were ordered and not refused.
+    std::vector<jobs::run_id> runs_at_end;
+    MSGPACK_DEFINE(worker, ended_runs, evidence, crashed, runs_at_end)
 };
 
 /// Long poll of a supervisor. The leader answers when the orders for the worker have changed, or at
--- a/src/include/redwingwheel/supervisor.h
+++ b/src/include/redwingwheel/supervisor.h
@@ -76,6 +76,7 @@
     };
 
     void begin_incarnation(const worker_incarnation& incarnation, std::string_view evidence);
+    [[nodiscard]] std::vector<run_id> runs_on_worker() const;
     void end_worker(std::string_view evidence);
     void log_unordered_runs(const worker_listing& listing);
     void log_permit(bool valid);
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -209,10 +209,10 @@
         this->propose_ended_runs(ended.worker, ended.ended_runs);
         if (!this->job_scheduler.has_ended(ended.worker) &&
             !this->state.runs_on(ended.worker).empty()) {
-            spdlog::info("event=worker_ended worker={} born={} host={} evidence={} runs={} "
-                         "permit_expired_ms={}",
+            spdlog::info("event=worker_ended worker={} born={} host={} evidence={} crashed={} "
+                         "runs={} permit_expired_ms={}",
                          ended.worker.id, ended.worker.started_unix_ms, ended.worker.host,
-                         ended.evidence, this->state.runs_on(ended.worker).size(),
+                         ended.evidence, ended.crashed, this->state.runs_on(ended.worker).size(),
                          this->job_scheduler.time_since_permit(ended.worker).count());
         }
         this->job_scheduler.record_worker_end(ended.worker);
--- a/src/libsupervisor/supervisor.cpp
+++ b/src/libsupervisor/supervisor.cpp
@@ -146,12 +146,22 @@
 void supervisor::begin_incarnation(const worker_incarnation& incarnation, std::string_view evidence)
 {
     if (this->worker.has_value()) {
+        messages::ended_incarnation ended;
+        ended.worker = this->worker->incarnation;
+        ended.evidence = evidence;
+        ended.crashed = !incarnation.id.empty() && !this->worker->draining;
+        ended.runs_at_end = this->runs_on_worker();
         spdlog::info("event=worker_replaced worker={} born={} new={} new_born={} evidence={} "
-                     "running={} permit={}",
+                     "crashed={} running={} runs_at_end={} permit={}",
                      this->worker->incarnation.id, this->worker->incarnation.started_unix_ms,
-                     incarnation.id, incarnation.started_unix_ms, evidence, this->running.size(),
-                     this->has_permit());
-        messages::ended_incarnation ended{this->worker->incarnation, {}, std::string(evidence)};
+                     incarnation.id, incarnation.started_unix_ms, evidence, ended.crashed,
+                     this->running.size(), ended.runs_at_end.size(), this->has_permit());
+        if (ended.crashed) {
+            for (const run_id& run : ended.runs_at_end) {
+                spdlog::info("event=run_crashed task={} worker={} born={}", format_run(run),
+                             ended.worker.id, ended.worker.started_unix_ms);
+            }
+        }
         for (const auto& [number, end] : this->ended_runs) {
             if (number > this->last_recorded_end) {
                 ended.ended_runs.push_back(end);
@@ -178,6 +188,25 @@
     ++this->renewal_number;
 }
 
+/// Returns the runs that the worker listed last, and those that it may have started since.
+std::vector<run_id> supervisor::runs_on_worker() const
+{
+    std::set<run_id> found;
+    for (const run_progress& each : this->running) {
+        found.insert(each.run);
+    }
+    for (const auto& [run, start] : this->starts) {
+        const bool was_sent = start.deadline != 0;
+        if (was_sent && !start.refused) {
+            found.insert(run);
+        }
+    }
+    for (const auto& [number, end] : this->ended_runs) {
+        found.erase(end.run);
+    }
+    return {found.begin(), found.end()};
+}
+
 void supervisor::worker_left(const std::string& id)
 {
     if (!this->worker.has_value() || this->worker->incarnation.id != id) {
--- a/src/libsupervisor/supervisor_test.cpp
+++ b/src/libsupervisor/supervisor_test.cpp
@@ -512,3 +512,48 @@
     w.replace_polls();
     CHECK(w.polls.back().poll.ended_runs.size() == 2);
 }
+
+// Failure: nobody can tell which runs ended together with their worker.
+TEST_CASE("a crash is reported with the runs that the worker had started")
+{
+    const run_id sent{{"00000000000000bb", 0, 0, 0}, 1};
+    const run_id refused{{"00000000000000cc", 0, 0, 0}, 1};
+    const run_id ended{{"00000000000000dd", 0, 0, 0}, 1};
+    world w;
+    w.complete_start_up();
+    w.answer_poll({run_one, sent, refused, ended}, {run_one, sent, refused, ended});
+    REQUIRE(w.port.starts.size() == 4);
+    for (const fake_port::pending_start& each : w.port.starts) {
+        if (each.order.run != sent) {
+            each.done(each.order.run == refused ? start_result::no_room : start_result::started);
+        }
+    }
+    w.answer_renewal({{run_one, "", 0}}, {{1, ended, run_outcome::failed, ""}});
+    w.started_unix_ms = 9;
+    w.announce();
+    w.replace_polls();
+    const messages::ended_incarnation& reported = w.polls.back().poll.ended_incarnations.front();
+    CHECK(reported.crashed);
+    CHECK(reported.runs_at_end == std::vector<run_id>{run_one, sent});
+}
+
+// Failure: runs of a worker that ended as planned are taken for the cause of a crash.
+TEST_CASE("a worker that drained or deregistered before the next one is not reported as crashed")
+{
+    const bool deregisters = GENERATE(true, false);
+    world w;
+    w.complete_start_up();
+    w.answer_renewal({{run_one, "", 0}});
+    if (deregisters) {
+        w.subject->worker_left("w");
+        w.advance_time(milliseconds(0));
+    }
+    else {
+        w.announce(true, 2000);
+    }
+    w.started_unix_ms = 9;
+    w.announce();
+    w.replace_polls();
+    REQUIRE(w.polls.back().poll.ended_incarnations.size() == 1);
+    CHECK_FALSE(w.polls.back().poll.ended_incarnations.front().crashed);
+}
