--- a/src/libjobs/scheduler_world.h
+++ b/src/libjobs/scheduler_world.h
@@ -80,6 +80,15 @@
         this->unix_ms += by.count();
     }
 
+    /// Lets the worker crash and return as its next incarnation, as its supervisor reports it.
+    void crash(const std::string& id)
+    {
+        worker_description& worker = this->workers[id];
+        this->decisions.record_worker_end(worker.incarnation);
+        worker.incarnation.started_unix_ms += 1;
+        this->report(id);
+    }
+
     void end_run(const run_id& run, run_outcome outcome)
     {
         const worker_incarnation worker = this->state.find(run.task)->worker;
