--- a/src/include/redwingwheel/job_state.h
+++ b/src/include/redwingwheel/job_state.h
@@ -89,8 +89,20 @@
     MSGPACK_DEFINE(now_unix_ms, forget_ended_before_unix_ms)
 };
 
-using job_command = std::variant<install_configuration, set_evacuation, submit_job, cancel_job,
-                                 assign_runs, record_ended_runs, release_runs, advance_time>;
+/// Records the crash of a worker. It counts for the tasks of `suspected_runs` and not for those of
+/// `progressed_runs`, which the worker had executed for some time.
+struct record_worker_crash {
+    worker_incarnation worker;
+    std::vector<run_id> suspected_runs;
+    std::vector<run_id> progressed_runs;
+    std::int64_t now_unix_ms = 0;
+    MSGPACK_DEFINE(worker, suspected_runs, progressed_runs, now_unix_ms)
+};
+
+/// New alternatives are appended: the log stores the index.
+using job_command =
+    std::variant<install_configuration, set_evacuation, submit_job, cancel_job, assign_runs,
+                 record_ended_runs, release_runs, advance_time, record_worker_crash>;
 
 [[nodiscard]] std::string pack_job_command(const job_command& command);
 /// Errors: packing_errc::malformed.
@@ -100,13 +112,25 @@
 
 enum class task_phase : std::uint8_t { waiting, assigned, done };
 
+/// A crash of the worker that had just started a run of the task.
+struct crash_record {
+    std::uint32_t run = 0;
+    std::string host;
+    /// All other runs that may have caused the crash were of the same job.
+    bool alone = false;
+    MSGPACK_DEFINE(run, host, alone)
+};
+
 struct task_record {
     task_phase phase = task_phase::waiting;
     std::uint32_t last_run = 0;
     std::uint32_t failures = 0;
     worker_incarnation worker; ///< Worker of the last run.
     std::string checkpoint;
-    MSGPACK_DEFINE(phase, last_run, failures, worker, checkpoint)
+    /// Crashes since the last run that did not crash its worker.
+    std::vector<crash_record> crashes;
+    std::uint32_t last_sound_run = 0; ///< Highest run that is known not to have crashed its worker.
+    MSGPACK_DEFINE(phase, last_run, failures, worker, checkpoint, crashes, last_sound_run)
 };
 
 struct step_record {
@@ -199,6 +223,9 @@
     {
         return this->runs_by_worker;
     }
+    /// True when a crash of the worker of `run` would count for its task: the task is open, and
+    /// neither this crash nor a sound end of the run is recorded.
+    [[nodiscard]] bool can_count_crash(const run_id& run) const;
     /// Number of the last ended run of `worker` that is recorded; 0: none.
     [[nodiscard]] std::uint64_t last_recorded_end(const worker_incarnation& worker) const;
 
@@ -229,6 +256,7 @@
     command_result apply_command(const record_ended_runs& command);
     command_result apply_command(const release_runs& command);
     command_result apply_command(const advance_time& command);
+    command_result apply_command(const record_worker_crash& command);
 
     [[nodiscard]] bool can_assign(const assignment& each) const;
     void record_end(const ended_run& end, std::int64_t now_unix_ms);
@@ -237,6 +265,11 @@
     void mark_tasks_done(const step_definition& definition, step_record& step,
                          const task_id& ended);
     void count_failure(job_record& job, const ended_run& end, std::int64_t now_unix_ms);
+    void count_crash(const worker_incarnation& worker, const run_id& run, bool alone,
+                     std::int64_t now_unix_ms);
+    void mark_sound(const run_id& run);
+    /// The task must exist.
+    [[nodiscard]] task_record& task_at(const task_id& id);
     void unassign(const run_id& run, task_record& task, step_record& step);
     void close_ended_occurrences(job_record& job, std::uint32_t occurrence,
                                  std::int64_t now_unix_ms);
@@ -253,6 +286,9 @@
 /// because every replica would fail on the same entry.
 [[nodiscard]] bool is_well_formed(const job_definition& definition);
 
+/// True when the crashes of the task's workers exceed the limit: it is not started again.
+[[nodiscard]] bool has_crashed_too_often(const step_definition& step, const task_record& task);
+
 /// True when all tasks of the steps before `step` are done.
 [[nodiscard]] bool is_ready(const job_definition& definition, const occurrence_record& occurrence,
                             std::uint32_t step);
--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -78,6 +78,13 @@
     milliseconds imminent_end{500};
     /// A reservation that has not been used within this time expires and is decided anew.
     milliseconds reservation_lifetime{1200};
+    /// A task whose worker has crashed waits this long for a worker without runs of other jobs, and
+    /// other jobs wait this long for a worker that has started such a task.
+    milliseconds isolation_wait_limit{1500};
+    /// A worker that has started such a task gets no runs of other jobs for this long, or until the
+    /// run progresses. Covers a start that is repeated until the end of its window, 1.5 s, and the
+    /// next listing.
+    milliseconds isolation_duration{3000};
 };
 
 /// A run that is stopped, for the log.
@@ -153,6 +160,10 @@
     /// Records how a run ended, to tell faulty workers from faulty jobs.
     void record_run_end(const worker_incarnation& worker, const ended_run& end);
 
+    /// True when the run, or a later one of its task, is known to have made progress: it did not
+    /// crash its worker as soon as it was started.
+    [[nodiscard]] bool has_progressed(const run_id& run) const;
+
     /// Records that the worker refused a start. It gets no new runs for a short time.
     void record_refused_start(const worker_incarnation& worker);
 
@@ -206,6 +217,13 @@
         double expected_remaining_ms = 0.0; ///< Until the last run is expected to end.
         bool ends_soon = false;             ///< Not stopped, since it is expected to end soon.
     };
+    /// Runs on a worker, as far as they matter for the isolation of suspected tasks.
+    struct worker_jobs {
+        std::set<std::string> jobs;
+        /// Job of a suspected run that has not progressed yet; empty: none.
+        std::string isolated_for;
+    };
+    using isolation_key = std::pair<task_id, bool>; ///< Step, and whether for its crash suspects.
     using occurrence_id = std::pair<std::string, std::uint32_t>; ///< Job and occurrence.
     struct eviction_plan {
         std::vector<std::size_t> victim_indices; ///< Positions in the list of candidates.
@@ -252,6 +270,19 @@
     [[nodiscard]] std::set<std::string> guaranteed_jobs() const;
     [[nodiscard]] bool is_silent(const scheduling_round& round, const tracked_worker& worker) const;
     void update_eligibility(scheduling_round& round, const pending_step& pending) const;
+    /// True when the worker of the task's last run has crashed and no run has progressed since.
+    [[nodiscard]] bool is_crash_suspect(const task_id& id, const task_record& task) const;
+    [[nodiscard]] std::set<std::string> crashed_hosts(const pending_step& pending) const;
+    [[nodiscard]] worker_jobs jobs_on(const scheduling_round& round,
+                                      const worker_incarnation& worker) const;
+    /// Separates the crash suspects among the waiting tasks from the others, except in gangs.
+    void add_pending(std::vector<pending_step>& found, pending_step pending,
+                     const step_record& record) const;
+    /// Excludes the workers that are isolated for other jobs and, for crash suspects, those that
+    /// run other jobs, unless the step has waited too long for others. Returns true when the tasks
+    /// wait for isolation, so that nothing is evicted for them.
+    bool apply_isolation(scheduling_round& round, const pending_step& pending);
+    void update_isolation_since(const std::vector<pending_step>& waiting);
     void place(scheduling_round& round, const pending_step& pending);
     void assign(scheduling_round& round, const pending_step& pending,
                 const std::vector<std::size_t>& worker_indices);
@@ -300,6 +331,10 @@
     std::map<occurrence_id, steady_time> due_times;
     /// When each pending step began to wait. A step whose runs were lost begins to wait anew.
     std::map<task_id, steady_time> waiting_since;
+    /// Highest run of each task that has made progress.
+    std::map<task_id, std::uint32_t> progressed_runs;
+    /// When each pending step was first excluded from a worker for isolation.
+    std::map<isolation_key, steady_time> isolation_since;
     /// By name of the queue.
     std::map<std::string, duration_history> durations;
     steady_time leading_since;
--- a/src/include/redwingwheel/scheduler_service.h
+++ b/src/include/redwingwheel/scheduler_service.h
@@ -35,12 +35,15 @@
 
     void apply(std::uint64_t index, const std::string& command);
     void log_ended_jobs(const record_ended_runs& command) const;
+    void log_crash(const record_worker_crash& command) const;
     void on_leadership(bool leads, std::uint64_t term);
     void propose(const job_command& command, command_done done);
 
     void serve_poll(const wire::incoming_request& request, const answer_function& answer);
     void propose_ended_runs(const worker_incarnation& worker,
                             const std::vector<ended_run>& ended_runs);
+    /// Proposes to count the crash of a worker, once in this leader's term.
+    void propose_crash(const messages::ended_incarnation& ended);
     void release_refused_starts(const messages::worker_poll& poll);
     [[nodiscard]] messages::worker_poll_answer
     build_poll_answer(const worker_incarnation& worker) const;
@@ -70,6 +73,8 @@
     /// Number of the last ended run for which a command was proposed.
     std::map<worker_incarnation, std::uint64_t> proposed_end_numbers;
     std::map<run_id, steady_time> proposed_releases;
+    /// Crashed workers for which a command was proposed.
+    std::set<worker_incarnation> proposed_crashes;
     std::uint64_t term = 0;
     bool leading = false;
     bool stopping = false;
--- a/src/libjobs/job_state.cpp
+++ b/src/libjobs/job_state.cpp
@@ -152,6 +152,7 @@
     const task_record* const task = this->find(each.run.task);
     return job != nullptr && !job->ended() && task != nullptr &&
            task->phase == task_phase::waiting && each.run.number > task->last_run &&
+           !has_crashed_too_often(job->definition.steps[each.run.task.step], *task) &&
            is_ready(job->definition, job->open_occurrences.at(each.run.task.occurrence),
                     each.run.task.step);
 }
@@ -233,6 +234,7 @@
     job_record& job = this->replicated.jobs.at(id.job);
     step_record& step = job.open_occurrences.at(id.occurrence).steps[id.step];
     task_record& task = step.tasks[id.index];
+    this->mark_sound(end.run);
     if (task.phase == task_phase::assigned) {
         this->unassign(end.run, task, step);
     }
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -11,6 +11,7 @@
 /// After a refused start a worker gets no runs for this long, so that it can report its resources
 /// again first.
 constexpr milliseconds exclusion_after_refusal{300};
+constexpr std::uint32_t finished_percent = 100;
 /// Suspect workers are excluded only while at most one in this many workers is suspect.
 constexpr std::size_t workers_per_suspect = 3;
 /// Ages and objectives beyond this do not influence decisions; keeps sums of times in range.
@@ -43,6 +44,8 @@
     this->reservations.clear();
     this->waiting_since.clear();
     this->due_times.clear();
+    this->progressed_runs.clear();
+    this->isolation_since.clear();
     this->leading_since = this->clock();
 }
 
@@ -74,6 +77,11 @@
             run.first_listed = now;
             run.first_percent = each.percent;
         }
+        // Long-running tasks are at 100 percent as soon as they are at work.
+        if (each.percent > run.first_percent || each.percent == finished_percent) {
+            std::uint32_t& progressed = this->progressed_runs[each.run.task];
+            progressed = std::max(progressed, each.run.number);
+        }
         run.listed = true;
         run.last_listed = now;
         run.percent = each.percent;
@@ -173,6 +181,7 @@
     this->update_due_times(round);
     std::vector<pending_step> waiting = this->pending_steps(round);
     this->update_waiting_since(round, waiting);
+    this->update_isolation_since(waiting);
     const auto key = [](const pending_step& each) {
         return std::make_tuple(each.urgency_class, each.lateness, each.job->priority,
                                each.objective);
@@ -230,6 +239,8 @@
                   [this](const auto& each) { return this->state.find(each.first) == nullptr; });
     std::erase_if(this->reservations,
                   [this](const auto& each) { return this->state.find(each.first) == nullptr; });
+    std::erase_if(this->progressed_runs,
+                  [this](const auto& each) { return this->state.find(each.first) == nullptr; });
     const steady_time now = this->clock();
     std::erase_if(this->workers, [this, now](const auto& each) {
         return (each.second.ended || each.second.permit_until + std::chrono::seconds(60) < now) &&
@@ -260,6 +271,7 @@
         }
         round.ids.push_back(incarnation);
         round.availability.push_back(worker);
+        round.jobs.push_back(this->jobs_on(round, incarnation));
     }
     round.exclude_suspects = suspects * workers_per_suspect <= round.availability.size();
 }
@@ -333,7 +345,7 @@
                     pending.urgency_class =
                         round.guaranteed.contains(id) ? urgency::guaranteed : urgency::urgent;
                 }
-                found.push_back(std::move(pending));
+                this->add_pending(found, std::move(pending), record);
             }
         }
     }
@@ -358,6 +370,7 @@
             failed.insert(found->second.begin(), found->second.end());
         }
     }
+    const std::set<std::string> hosts_crashed = this->crashed_hosts(pending);
     const step_record& record =
         pending.job->open_occurrences.at(pending.occurrence).steps[pending.step];
     for (std::size_t each = 0; each < round.availability.size(); ++each) {
@@ -373,7 +386,8 @@
                          known.excluded_until <= round.now &&
                          !this->state.evacuated().contains(worker.data_centre) &&
                          !(is_suspect && round.exclude_suspects);
-        entry.suspect = is_suspect || failed.contains(round.ids[each].id);
+        entry.suspect = is_suspect || failed.contains(round.ids[each].id) ||
+                        hosts_crashed.contains(round.ids[each].host);
         entry.tasks_of_step = static_cast<std::uint32_t>(
             std::count_if(record.tasks.begin(), record.tasks.end(),
                           [&id = round.ids[each]](const task_record& task) {
@@ -401,6 +415,11 @@
         command.runs.push_back({{id, number}, round.ids[worker_indices[each]]});
         this->runs[{id, number}].started_at = round.now;
         this->runs[{id, number}].last_progress = round.now;
+        worker_jobs& jobs = round.jobs[worker_indices[each]];
+        jobs.jobs.insert(id.job);
+        if (pending.crash_suspect) {
+            jobs.isolated_for = id.job;
+        }
         resources& available = round.availability[worker_indices[each]].available;
         available -= step.per_task;
         if (step.best_effort_cpu) {
--- a/src/libjobs/scheduler_eviction.cpp
+++ b/src/libjobs/scheduler_eviction.cpp
@@ -41,6 +41,7 @@
         never_fits ||
         waited >= milliseconds(std::max<std::int64_t>(pending.definition().estimate_ms, 1000)) ||
         pending.urgency_class == urgency::guaranteed;
+    const bool isolate = this->apply_isolation(round, pending);
     const std::vector<std::size_t> worker_indices = find_placement(request, round.availability);
     if (!worker_indices.empty()) {
         this->assign(round, pending, worker_indices);
@@ -48,6 +49,9 @@
     if (worker_indices.size() == pending.waiting_tasks.size()) {
         this->drop_reservation(round, pending.id());
     }
+    else if (isolate) {
+        // Nothing is evicted to isolate a task.
+    }
     else if (pending.urgency_class != urgency::ordinary) {
         waiting_step waiting = this->free_resources(round, pending, request);
         waiting.tasks = pending.waiting_tasks.size() - worker_indices.size();
--- a/src/libjobs/scheduler_round.h
+++ b/src/libjobs/scheduler_round.h
@@ -17,6 +17,8 @@
     int lateness = 0;
     steady_time objective;
     steady_time due;
+    /// The waiting tasks are suspected of crashing their workers.
+    bool crash_suspect = false;
 
     [[nodiscard]] const step_definition& definition() const
     {
@@ -39,6 +41,7 @@
     std::int64_t now_unix_ms = 0;
     std::vector<worker_incarnation> ids;
     std::vector<worker_availability> availability;
+    std::vector<worker_jobs> jobs; ///< For each worker, including runs assigned in this round.
     /// Suspect workers are not eligible, because there are few enough of them.
     bool exclude_suspects = true;
     std::set<std::string> guaranteed;
--- a/src/libjobs/scheduler_world.h
+++ b/src/libjobs/scheduler_world.h
@@ -84,6 +84,12 @@
     void crash(const std::string& id)
     {
         worker_description& worker = this->workers[id];
+        record_worker_crash crash{worker.incarnation, {}, {}, this->unix_ms};
+        for (const run_id& run : this->state.runs_on(worker.incarnation)) {
+            (this->decisions.has_progressed(run) ? crash.progressed_runs : crash.suspected_runs)
+                .push_back(run);
+        }
+        this->state.apply(crash);
         this->decisions.record_worker_end(worker.incarnation);
         worker.incarnation.started_unix_ms += 1;
         this->report(id);
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -124,6 +124,9 @@
     if (const record_ended_runs* const ended_runs = std::get_if<record_ended_runs>(&*read)) {
         this->log_ended_jobs(*ended_runs);
     }
+    if (const record_worker_crash* const crash = std::get_if<record_worker_crash>(&*read)) {
+        this->log_crash(*crash);
+    }
     if (this->state.configuration().version != version) {
         spdlog::info("event=configuration_in_force version={} previous={} index={}",
                      this->state.configuration().version, version, index);
@@ -158,6 +161,7 @@
     this->uncommitted_decisions = 0;
     this->proposed_end_numbers.clear();
     this->proposed_releases.clear();
+    this->proposed_crashes.clear();
     for (const auto& [supervisor, waiting] : this->polls) {
         waiting.answer(absl::AbortedError("leadership has changed while the poll waited"));
     }
@@ -207,6 +211,7 @@
     // that is done as done.
     for (const messages::ended_incarnation& ended : poll->ended_incarnations) {
         this->propose_ended_runs(ended.worker, ended.ended_runs);
+        this->propose_crash(ended);
         if (!this->job_scheduler.has_ended(ended.worker) &&
             !this->state.runs_on(ended.worker).empty()) {
             spdlog::info("event=worker_ended worker={} born={} host={} evidence={} crashed={} "
