--- a/src/include/redwingwheel/job_state.h
+++ b/src/include/redwingwheel/job_state.h
@@ -121,7 +121,8 @@
     std::string host;
     /// All other runs that may have caused the crash were of the same job.
     bool alone = false;
-    MSGPACK_DEFINE(run, host, alone)
+    bool observed = true; ///< The supervisor of the worker has observed the crash.
+    MSGPACK_DEFINE(run, host, alone, observed)
 };
 
 struct task_record {
@@ -268,8 +269,7 @@
     void mark_tasks_done(const step_definition& definition, step_record& step,
                          const task_id& ended);
     void count_failure(job_record& job, const ended_run& end, std::int64_t now_unix_ms);
-    void count_crash(const worker_incarnation& worker, const run_id& run, bool alone,
-                     std::int64_t now_unix_ms);
+    void count_crash(const run_id& run, const crash_record& crash, std::int64_t now_unix_ms);
     void mark_sound(const run_id& run);
     /// The task must exist.
     [[nodiscard]] task_record& task_at(const task_id& id);
--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -275,7 +275,7 @@
     [[nodiscard]] std::set<std::string> guaranteed_jobs() const;
     [[nodiscard]] bool is_silent(const scheduling_round& round, const tracked_worker& worker) const;
     void update_eligibility(scheduling_round& round, const pending_step& pending) const;
-    /// True when the worker of the task's last run has crashed and no run has progressed since.
+    /// True when a worker was observed to crash under the task and no run has progressed since.
     [[nodiscard]] bool is_crash_suspect(const task_id& id, const task_record& task) const;
     [[nodiscard]] std::set<std::string> crashed_hosts(const pending_step& pending) const;
     [[nodiscard]] worker_jobs jobs_on(const scheduling_round& round,
--- a/src/libjobs/scheduler_isolation.cpp
+++ b/src/libjobs/scheduler_isolation.cpp
@@ -28,9 +28,11 @@
 
 bool scheduler::is_crash_suspect(const task_id& id, const task_record& task) const
 {
+    // A loss of power ends the runs of many sound tasks at once. Isolating them would leave most of
+    // the workers unused.
     return std::any_of(task.crashes.begin(), task.crashes.end(),
                        [this, &id](const crash_record& each) {
-                           return !this->has_progressed({id, each.run});
+                           return each.observed && !this->has_progressed({id, each.run});
                        });
 }
 
@@ -41,7 +43,9 @@
         pending.job->open_occurrences.at(pending.occurrence).steps[pending.step];
     for (const std::uint32_t index : pending.waiting_tasks) {
         for (const crash_record& each : record.tasks[index].crashes) {
-            hosts.insert(each.host);
+            if (each.observed) {
+                hosts.insert(each.host);
+            }
         }
     }
     return hosts;
--- a/src/libjobs/scheduler_isolation_test.cpp
+++ b/src/libjobs/scheduler_isolation_test.cpp
@@ -271,3 +271,20 @@
     w.report("a", {{second, "saved", 41}});
     CHECK(w.decisions.has_progressed(second));
 }
+
+// Failure: after a loss of power most workers stay unused, because each holds one task that waits
+// to be cleared.
+TEST_CASE("tasks whose worker ended unobserved are not isolated")
+{
+    const bool observed = GENERATE(true, false);
+    world w;
+    w.add_worker("a", "r1");
+    w.submit("first", "batch", 1, 1);
+    w.submit("second", "batch", 1, 1);
+    w.decide();
+    w.crash("a", observed);
+    w.decide();
+    w.decide();
+    CHECK(w.workers_of("first").contains("a"));
+    CHECK(w.workers_of("second").contains("a") != observed);
+}
--- a/src/libjobs/scheduler_world.h
+++ b/src/libjobs/scheduler_world.h
@@ -81,10 +81,10 @@
     }
 
     /// Lets the worker crash and return as its next incarnation, as its supervisor reports it.
-    void crash(const std::string& id)
+    void crash(const std::string& id, bool observed = true)
     {
         worker_description& worker = this->workers[id];
-        record_worker_crash crash{worker.incarnation, {}, {}, this->unix_ms};
+        record_worker_crash crash{worker.incarnation, {}, {}, this->unix_ms, observed};
         for (const run_id& run : this->state.runs_on(worker.incarnation)) {
             (this->decisions.has_progressed(run) ? crash.progressed_runs : crash.suspected_runs)
                 .push_back(run);
--- a/src/libjobs/worker_crashes.cpp
+++ b/src/libjobs/worker_crashes.cpp
@@ -56,18 +56,18 @@
     const bool alone = command.observed && is_single_job(command.suspected_runs);
     for (const run_id& run : command.suspected_runs) {
         if (this->can_count_crash(run)) {
-            this->count_crash(command.worker, run, alone, command.now_unix_ms);
+            this->count_crash(run, {run.number, command.worker.host, alone, command.observed},
+                              command.now_unix_ms);
         }
     }
     return command_result::accepted;
 }
 
-void job_state::count_crash(const worker_incarnation& worker, const run_id& run, bool alone,
-                            std::int64_t now_unix_ms)
+void job_state::count_crash(const run_id& run, const crash_record& crash, std::int64_t now_unix_ms)
 {
     job_record& job = this->replicated.jobs.at(run.task.job);
     task_record& task = this->task_at(run.task);
-    task.crashes.push_back({run.number, worker.host, alone});
+    task.crashes.push_back(crash);
     if (has_crashed_too_often(job.definition.steps[run.task.step], task)) {
         job.status = job_status::failed;
         job.ended_unix_ms = now_unix_ms;
