--- a/src/include/redwingwheel/job_model.h
+++ b/src/include/redwingwheel/job_model.h
@@ -157,6 +157,11 @@
     /// Name of the supervisor on the worker's host. A host runs one worker at a time.
     std::string host;
 
+    /// True for another incarnation on the same host, at most one of which is running.
+    [[nodiscard]] bool shares_host_with(const worker_incarnation& other) const
+    {
+        return this->host == other.host && !(*this == other);
+    }
     friend bool operator==(const worker_incarnation&, const worker_incarnation&) = default;
     friend bool operator<(const worker_incarnation& left, const worker_incarnation& right)
     {
--- a/src/include/redwingwheel/scheduler_service.h
+++ b/src/include/redwingwheel/scheduler_service.h
@@ -37,12 +37,20 @@
 
     void apply(std::uint64_t index, const std::string& command);
     void log_ended_jobs(const record_ended_runs& command) const;
+    void log_crash(const record_worker_crash& command) const;
     void on_leadership(bool leads, std::uint64_t term);
     void propose(const job_command& command, command_done done);
 
     void serve_poll(const wire::incoming_request& request, const answer_function& answer);
     void propose_ended_runs(const worker_incarnation& worker,
                             const std::vector<ended_run>& ended_runs);
+    void propose_reported_crash(const messages::ended_incarnation& ended);
+    /// Proposes to count incarnations that `worker` has replaced without a report of their end,
+    /// because their supervisor ended too.
+    void propose_unreported_crashes(const worker_incarnation& worker);
+    /// Proposes to count the crash of a worker, once in this leader's term.
+    void propose_crash(const worker_incarnation& worker, const std::vector<run_id>& runs_at_end,
+                       bool observed);
     void release_refused_starts(const messages::worker_poll& poll);
     void record_report(const messages::worker_poll& poll);
     /// Returns the number of runs that are withdrawn.
@@ -81,6 +89,8 @@
     /// Number of the last ended run for which a command was proposed.
     std::map<worker_incarnation, std::uint64_t> proposed_end_numbers;
     std::map<run_id, steady_time> proposed_releases;
+    /// Crashed workers for which a command was proposed.
+    std::set<worker_incarnation> proposed_crashes;
     std::uint64_t term = 0;
     bool leading = false;
     bool stopping = false;
--- a/src/libjobs/scheduler_world.h
+++ b/src/libjobs/scheduler_world.h
@@ -80,6 +80,21 @@
         this->unix_ms += by.count();
     }
 
+    /// Lets the worker crash and return as its next incarnation, as its supervisor reports it.
+    void crash(const std::string& id, bool observed = true)
+    {
+        worker_description& worker = this->workers[id];
+        record_worker_crash crash{worker.incarnation, {}, {}, this->unix_ms, observed};
+        for (const run_id& run : this->state.runs_on(worker.incarnation)) {
+            (this->decisions.has_progressed(run) ? crash.progressed_runs : crash.suspected_runs)
+                .push_back(run);
+        }
+        this->state.apply(crash);
+        this->decisions.record_worker_end(worker.incarnation);
+        worker.incarnation.started_unix_ms += 1;
+        this->report(id);
+    }
+
     void end_run(const run_id& run, run_outcome outcome)
     {
         const worker_incarnation worker = this->state.find(run.task)->worker;
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -129,6 +129,9 @@
     if (const record_ended_runs* const ended_runs = std::get_if<record_ended_runs>(&*read)) {
         this->log_ended_jobs(*ended_runs);
     }
+    if (const record_worker_crash* const crash = std::get_if<record_worker_crash>(&*read)) {
+        this->log_crash(*crash);
+    }
     if (this->state.configuration().version != version) {
         spdlog::info("event=configuration_in_force version={} previous={} index={}",
                      this->state.configuration().version, version, index);
@@ -163,6 +166,7 @@
     this->uncommitted_decisions = 0;
     this->proposed_end_numbers.clear();
     this->proposed_releases.clear();
+    this->proposed_crashes.clear();
     for (const auto& [supervisor, waiting] : this->polls) {
         waiting.answer(absl::AbortedError("leadership has changed while the poll waited"));
     }
@@ -218,12 +222,13 @@
     // that is done as done.
     for (const messages::ended_incarnation& ended : poll->ended_incarnations) {
         this->propose_ended_runs(ended.worker, ended.ended_runs);
+        this->propose_reported_crash(ended);
         if (!this->job_scheduler.has_ended(ended.worker) &&
             !this->state.runs_on(ended.worker).empty()) {
-            spdlog::info("event=worker_ended worker={} born={} host={} evidence={} runs={} "
-                         "permit_expired_ms={}",
+            spdlog::info("event=worker_ended worker={} born={} host={} evidence={} crashed={} "
+                         "runs={} permit_expired_ms={}",
                          ended.worker.id, ended.worker.started_unix_ms, ended.worker.host,
-                         ended.evidence, this->state.runs_on(ended.worker).size(),
+                         ended.evidence, ended.crashed, this->state.runs_on(ended.worker).size(),
                          this->job_scheduler.time_since_permit(ended.worker).count());
         }
         this->job_scheduler.record_worker_end(ended.worker);
@@ -232,6 +237,7 @@
                          this->tokens.accept_report(poll->supervisor, poll->process, poll->sequence,
                                                     poll->worker.incarnation, poll->fencing_token);
     if (current) {
+        this->propose_unreported_crashes(poll->worker.incarnation);
         this->record_report(*poll);
     }
     this->propose_ended_runs(poll->worker.incarnation, poll->ended_runs);
--- a/src/libsupervisor/supervisor_incarnations.cpp
+++ b/src/libsupervisor/supervisor_incarnations.cpp
@@ -223,6 +223,13 @@
                  crashed, this->running.size(), this->has_permit());
     messages::ended_incarnation ended{
         this->worker->incarnation, {}, std::string(evidence), crashed, this->possibly_running()};
+    if (crashed) {
+        for (const run_id& run : ended.runs_at_end) {
+            spdlog::info("event=run_crashed task={}.{}.{}.{} run={} worker={} born={}",
+                         run.task.job, run.task.occurrence, run.task.step, run.task.index,
+                         run.number, ended.worker.id, ended.worker.started_unix_ms);
+        }
+    }
     for (const auto& [number, end] : this->ended_runs) {
         if (number > this->last_recorded_end) {
             ended.ended_runs.push_back(end);
