--- /dev/null
+++ b/src/libsupervisor/overlap_simulation_test.cpp
@@ -0,0 +1,112 @@
+#include <catch2/catch.hpp>
+
+#include "testing/overlap_simulation.h"
+
+using namespace redwingwheel::jobs::testing;
+
+namespace {
+
+/// Checks that the courses of events of these seeds violate nothing.
+void check_seeds(const std::set<fault_kind>& faults, const std::vector<std::uint64_t>& seeds)
+{
+    for (const std::uint64_t seed : seeds) {
+        simulation_options options;
+        options.seed = seed;
+        options.faults = faults;
+        const simulation_result result = simulate(options);
+        CHECK(result.starts > result.jobs / 2);
+        for (const violation& each : result.violations) {
+            FAIL_CHECK("seed " << seed << " at " << each.at_seconds << " s: " << each.text);
+        }
+    }
+}
+
+} // namespace
+
+// Failure: a simulation without faults reports violations, or its jobs do not run.
+TEST_CASE("jobs do not end on healthy hosts")
+{
+    check_seeds({}, {1, 2});
+}
+
+// Failure: the runs of a host without contact are started elsewhere while they go on there.
+TEST_CASE("a task runs twice when hosts lose contact with the leader")
+{
+    check_seeds({fault_kind::partition}, {1, 2, 3});
+    check_seeds({fault_kind::lossy_network}, {1, 2, 3});
+    check_seeds({fault_kind::lossy_network, fault_kind::partition}, {4, 5});
+}
+
+// Failure: the runs of a supervisor that is killed or frozen are started elsewhere while they go
+// on, or a restarted supervisor starts them again.
+TEST_CASE("a task runs twice when supervisors are killed or frozen")
+{
+    check_seeds({fault_kind::supervisor_restart}, {1, 2});
+    check_seeds({fault_kind::supervisor_freeze}, {1, 2});
+    check_seeds({fault_kind::supervisor_restart, fault_kind::supervisor_freeze}, {3, 4});
+}
+
+// Failure: the runs of a worker whose clock stood still go on after the leader has released them.
+TEST_CASE("a task runs twice when a host is suspended together with its worker")
+{
+    check_seeds({fault_kind::host_suspension}, {4, 9, 10, 11, 67, 73});
+}
+
+// Failure: a run is lost with its worker, or is started again while it goes on.
+TEST_CASE("a task runs twice or never when workers crash or shut down")
+{
+    check_seeds({fault_kind::worker_crash}, {1, 2});
+    check_seeds({fault_kind::worker_shutdown}, {1, 2});
+    check_seeds({fault_kind::worker_crash, fault_kind::worker_shutdown}, {3, 4});
+    check_seeds({fault_kind::worker_crash, fault_kind::late_announcements}, {5, 6});
+}
+
+// Failure: the announcements of a worker that started before its predecessor by the time of day are
+// ignored, and the runs of its predecessor are never released.
+TEST_CASE("a job never ends when the time of day jumps back between two starts of a worker")
+{
+    check_seeds({fault_kind::worker_crash, fault_kind::clock_step}, {1, 2, 3});
+}
+
+// Failure: a worker that has lost the acknowledgement of its deregistration, or has started again
+// under its id, is taken for ended while it runs its tasks.
+TEST_CASE("a task runs twice when deregistrations are late or repeated")
+{
+    check_seeds({fault_kind::worker_shutdown, fault_kind::late_announcements}, {6, 7, 8, 14, 16});
+}
+
+// Failure: an announcement of another writer ends a worker that runs its tasks.
+TEST_CASE("a task runs twice when another writer announces a worker")
+{
+    check_seeds({fault_kind::foreign_announcements}, {1, 2, 3});
+}
+
+// Failure: a run is given up while an order without an answer may still start it.
+TEST_CASE("a task runs twice when orders to the worker are held up")
+{
+    check_seeds({fault_kind::held_up_orders}, {1, 2});
+    check_seeds({fault_kind::held_up_orders, fault_kind::worker_unreachable}, {3, 4});
+    check_seeds({fault_kind::held_up_orders, fault_kind::supervisor_restart}, {5, 6});
+}
+
+// Failure: a worker that has started again under its id carries out orders for its predecessor.
+TEST_CASE("a task runs twice when a held up order reaches the next lifetime of the worker")
+{
+    check_seeds({fault_kind::held_up_orders, fault_kind::worker_crash}, {13, 14, 16, 19, 25, 29});
+}
+
+// Failure: a new leader releases runs for which its predecessor has given a permit, or a released
+// run is offered again before its release is committed.
+TEST_CASE("a task runs twice when the leader changes or commits slowly")
+{
+    check_seeds({fault_kind::leader_change}, {1, 2});
+    check_seeds({fault_kind::slow_commits}, {1, 2});
+    check_seeds({fault_kind::leader_change, fault_kind::slow_commits, fault_kind::partition},
+                {3, 4});
+}
+
+// Failure: faults of several kinds at the same time lead to what none of them does alone.
+TEST_CASE("a task runs twice or never when faults of all kinds overlap")
+{
+    check_seeds(all_faults(), {1, 3, 4, 5, 6, 8});
+}
--- /dev/null
+++ b/src/libsupervisor/testing/leader_model.cpp
@@ -0,0 +1,225 @@
+#include "leader_model.h"
+
+#include <spdlog/spdlog.h>
+
+#include "redwingwheel/digest.h"
+#include "redwingwheel/packing.h"
+#include "run_history.h"
+
+namespace redwingwheel::jobs::testing {
+
+namespace {
+
+constexpr milliseconds full_round_period{250};
+constexpr milliseconds max_poll_wait{900};
+constexpr milliseconds release_retry_interval{1000};
+
+} // namespace
+
+leader_model::leader_model(const scheduler_options& options, clock_function now,
+                           leader_hooks callbacks, std::uint64_t leader_term, job_state committed)
+    : clock(std::move(now)), hooks(std::move(callbacks)), term(leader_term),
+      state(std::move(committed)), job_scheduler(options, this->clock, this->state)
+{
+    this->job_scheduler.begin_leadership();
+}
+
+command_result leader_model::apply(const job_command& command)
+{
+    this->state_changed = true;
+    return this->state.apply(command);
+}
+
+void leader_model::abandon()
+{
+    std::map<std::string, waiting_poll> waiting;
+    waiting.swap(this->polls);
+    for (const auto& [supervisor, each] : waiting) {
+        each.done(absl::AbortedError("leadership has changed while the poll waited"));
+    }
+}
+
+void leader_model::serve_poll(messages::worker_poll poll, poll_done done)
+{
+    ++this->served;
+    const auto earlier = this->polls.find(poll.supervisor);
+    if (earlier != this->polls.end()) {
+        earlier->second.done(absl::AbortedError("a newer poll has arrived"));
+        this->polls.erase(earlier);
+    }
+    for (const messages::ended_incarnation& ended : poll.ended_incarnations) {
+        this->propose_ended_runs(ended.worker, ended.ended_runs);
+        if (!this->job_scheduler.has_ended(ended.worker) &&
+            !this->state.runs_on(ended.worker).empty()) {
+            spdlog::info("leader: worker_ended worker={} born={} host={} evidence={} runs={} "
+                         "permit_expired_ms={}",
+                         ended.worker.id, ended.worker.started_unix_ms, ended.worker.host,
+                         ended.evidence, this->state.runs_on(ended.worker).size(),
+                         this->job_scheduler.time_since_permit(ended.worker).count());
+        }
+        this->job_scheduler.record_worker_end(ended.worker);
+    }
+    if (!poll.worker.incarnation.id.empty()) {
+        this->job_scheduler.record_report(poll.worker, poll.running);
+    }
+    this->propose_ended_runs(poll.worker.incarnation, poll.ended_runs);
+    this->release_refused_starts(poll);
+    this->state_changed = true;
+    const std::string supervisor = poll.supervisor;
+    this->polls[supervisor] = {std::move(poll), std::move(done), this->clock() + max_poll_wait};
+}
+
+void leader_model::propose_ended_runs(const worker_incarnation& worker,
+                                      const std::vector<ended_run>& ended_runs)
+{
+    if (ended_runs.empty()) {
+        return;
+    }
+    const std::uint64_t last_known =
+        std::max(this->state.last_recorded_end(worker), this->proposed_end_numbers[worker]);
+    record_ended_runs command;
+    command.worker = worker;
+    command.now_unix_ms = this->hooks.unix_ms();
+    for (const ended_run& end : ended_runs) {
+        if (end.number > last_known) {
+            command.ended_runs.push_back(end);
+            this->job_scheduler.record_run_end(worker, end);
+            spdlog::info("leader: run_ended {} how={} worker={} born={} number={}",
+                         format_run(end.run), run_outcome_name(end.outcome), worker.id,
+                         worker.started_unix_ms, end.number);
+        }
+    }
+    if (command.ended_runs.empty()) {
+        return;
+    }
+    this->proposed_end_numbers[worker] = command.ended_runs.back().number;
+    this->hooks.propose(command, [this, worker](const absl::StatusOr<command_result>& result) {
+        if (!result.ok()) {
+            this->proposed_end_numbers.erase(worker);
+        }
+    });
+}
+
+void leader_model::release_refused_starts(const messages::worker_poll& poll)
+{
+    release_runs command;
+    command.now_unix_ms = this->hooks.unix_ms();
+    const steady_time now = this->clock();
+    std::erase_if(this->proposed_releases,
+                  [now](const auto& each) { return now > each.second + release_retry_interval; });
+    for (const messages::refused_start& each : poll.refused_starts) {
+        const task_record* const task = this->state.find(each.run.task);
+        if (task == nullptr || task->phase != task_phase::assigned ||
+            task->last_run != each.run.number ||
+            !this->proposed_releases.emplace(each.run, now).second) {
+            continue;
+        }
+        this->job_scheduler.record_refused_start(poll.worker.incarnation);
+        spdlog::info("leader: start_refused {} worker={} reason={}", format_run(each.run),
+                     poll.worker.incarnation.id, each.reason);
+        command.runs.push_back({each.run, ""});
+    }
+    if (!command.runs.empty()) {
+        this->hooks.propose(command, [](const absl::StatusOr<command_result>&) {});
+    }
+}
+
+messages::worker_poll_answer leader_model::build_poll_answer(const worker_incarnation& worker) const
+{
+    messages::worker_poll_answer made;
+    made.term = this->term;
+    made.permit_ms =
+        static_cast<std::uint64_t>(this->job_scheduler.settings().permit_lifetime.count());
+    made.last_recorded_end = this->state.last_recorded_end(worker);
+    std::vector<run_id> unconfirmed;
+    for (const run_id& run : this->state.runs_on(worker)) {
+        if (!this->job_scheduler.should_run(run)) {
+            made.withdrawn.push_back(run);
+            continue;
+        }
+        made.desired_runs.push_back(run);
+        if (!this->job_scheduler.is_confirmed(run)) {
+            unconfirmed.push_back(run);
+            const job_record* const job = this->state.find(run.task.job);
+            made.starts.push_back(
+                {run, job->definition.payload, this->state.find(run.task)->checkpoint});
+        }
+    }
+    made.orders_digest = digest::content_hash(pack(
+        std::make_tuple(made.last_recorded_end, made.desired_runs, unconfirmed, made.withdrawn)));
+    return made;
+}
+
+void leader_model::answer_polls()
+{
+    const steady_time now = this->clock();
+    for (auto each = this->polls.begin(); each != this->polls.end();) {
+        const waiting_poll& waiting = each->second;
+        const worker_incarnation& worker = waiting.poll.worker.incarnation;
+        messages::worker_poll_answer made = this->build_poll_answer(worker);
+        if (made.orders_digest == waiting.poll.orders_digest && now < waiting.answer_deadline) {
+            ++each;
+            continue;
+        }
+        if (!worker.id.empty()) {
+            this->job_scheduler.record_permit(worker);
+        }
+        for (const messages::ended_incarnation& ended : waiting.poll.ended_incarnations) {
+            if (ended.ended_runs.empty() ||
+                ended.ended_runs.back().number <= this->state.last_recorded_end(ended.worker)) {
+                made.recorded_incarnations.push_back(ended.worker);
+            }
+        }
+        waiting.done(made);
+        each = this->polls.erase(each);
+    }
+}
+
+void leader_model::tick()
+{
+    if (!this->hooks.leads()) {
+        return;
+    }
+    const steady_time now = this->clock();
+    if (this->uncommitted_decisions == 0 && (this->state_changed || now >= this->next_full_round)) {
+        this->state_changed = false;
+        this->next_full_round = now + full_round_period;
+        this->decide();
+    }
+    this->answer_polls();
+}
+
+void leader_model::decide()
+{
+    const schedule made = this->job_scheduler.decide(this->hooks.unix_ms());
+    for (const eviction& each : made.evictions) {
+        spdlog::info("leader: run_evicted {} reason=\"{}\"", format_run(each.run), each.reason);
+    }
+    const auto on_committed = [this](const absl::StatusOr<command_result>&) {
+        if (this->uncommitted_decisions > 0) {
+            --this->uncommitted_decisions;
+        }
+    };
+    if (!made.releases.empty()) {
+        for (const released_run& each : made.releases) {
+            const worker_incarnation& worker = this->state.find(each.run.task)->worker;
+            spdlog::info("leader: run_given_up {} worker={} born={} reason={} permit_expired_ms={}",
+                         format_run(each.run), worker.id, worker.started_unix_ms,
+                         this->job_scheduler.has_ended(worker) ? "worker_ended" : "permit_expired",
+                         this->job_scheduler.time_since_permit(worker).count());
+        }
+        ++this->uncommitted_decisions;
+        this->hooks.propose(release_runs{made.releases, this->hooks.unix_ms()}, on_committed);
+    }
+    for (const assign_runs& each : made.assignments) {
+        ++this->uncommitted_decisions;
+        for (const assignment& assigned : each.runs) {
+            spdlog::info("leader: run_assigned {} worker={} born={} host={} term={}",
+                         format_run(assigned.run), assigned.worker.id,
+                         assigned.worker.started_unix_ms, assigned.worker.host, this->term);
+        }
+        this->hooks.propose(each, on_committed);
+    }
+}
+
+} // namespace redwingwheel::jobs::testing
