Add seeds that still lead to two runs of a task

Change: seeds found with 400 seeds for each set of faults, on the code that keeps a renewal from changing the next incarnation with the same id. New test: a draining worker that still runs is taken for ended because something refuses connections.

--- a/src/libsupervisor/overlap_simulation_test.cpp
+++ b/src/libsupervisor/overlap_simulation_test.cpp
@@ -142,7 +142,7 @@
 // end is acknowledged although the worker's lease has not expired.
 TEST_CASE("the end of a run is acknowledged after its task was started elsewhere")
 {
-    check_seeds({fault_kind::host_suspension}, {127});
+    check_seeds({fault_kind::host_suspension}, {127, 183});
     check_drawn_faults({51, 82, 124});
 }
 
@@ -151,6 +151,7 @@
 TEST_CASE("a task runs twice when a supervisor learns late of the next lifetime of its worker")
 {
     check_seeds(all_faults(), {4, 26, 149});
+    check_seeds({fault_kind::held_up_orders, fault_kind::worker_crash}, {52});
 }
 
 // Failure: the worker has seen a higher fencing token than that of the stops that it gets.
@@ -159,3 +160,10 @@
     check_seeds(all_faults(), {79});
     check_drawn_faults({19});
 }
+
+// Failure: a draining worker is taken for ended because something else refuses the connections of
+// its supervisor.
+TEST_CASE("a task runs twice when a draining worker that still runs refuses connections")
+{
+    check_seeds(all_faults(), {374});
+}
