Refuse jobs of more tasks than the replicas can hold where the log is applied

What callers saw: nothing yet; other operators report entries that end one process after the other. The gateways refuse such jobs since the limits of bodies; the leader and the log did not. Evidence: 'a job with more tasks than the replicas can hold is applied' is accepted by the code before. Change: the limits of the platform's codec move to job_state.h and are checked there too.

--- a/src/include/redwingwheel/job_state.h
+++ b/src/include/redwingwheel/job_state.h
@@ -284,9 +284,15 @@
     std::map<worker_incarnation, std::set<run_id>> runs_by_worker;
 };
 
+/// Largest number of tasks of one occurrence of a job, and of all its occurrences. Each replica
+/// keeps a record of every task of an occurrence that has begun, and all occurrences may be due at
+/// once.
+constexpr std::int64_t max_tasks_of_occurrence = 100'000;
+constexpr std::int64_t max_tasks_of_job = 1'000'000;
+
 /// True when there is at least one step, each step has tasks and requires no negative resources,
-/// and depends only on earlier steps. Gateways check more than this; the log is checked again,
-/// because every replica would fail on the same entry.
+/// and depends only on earlier steps, and the tasks are within the limits above. Gateways check
+/// more than this; the log is checked again, because every replica would fail on the same entry.
 [[nodiscard]] bool is_well_formed(const job_definition& definition);
 
 /// True when the crashes of the task's workers exceed the limit: it is not started again.
--- a/src/libjobs/job_state.cpp
+++ b/src/libjobs/job_state.cpp
@@ -45,18 +45,24 @@
 
 bool is_well_formed(const job_definition& definition)
 {
+    std::int64_t tasks = 0;
     for (std::size_t step = 0; step < definition.steps.size(); ++step) {
         const step_definition& each = definition.steps[step];
         const bool depends_on_earlier_steps =
             std::all_of(each.depends_on.begin(), each.depends_on.end(),
                         [step](std::uint32_t earlier) { return earlier < step; });
         const resources& need = each.per_task;
+        tasks += each.tasks;
+        if (tasks > max_tasks_of_occurrence) {
+            return false;
+        }
         if (each.tasks == 0 || !depends_on_earlier_steps || need.cpu_millis < 0 ||
             need.memory_mb < 0 || need.accelerators < 0) {
             return false;
         }
     }
-    return !definition.steps.empty();
+    const std::int64_t occurrences = std::max<std::int64_t>(1, definition.occurrences);
+    return !definition.steps.empty() && tasks * occurrences <= max_tasks_of_job;
 }
 
 bool is_ready(const job_definition& definition, const occurrence_record& occurrence,
--- a/src/libjobs/job_state_test.cpp
+++ b/src/libjobs/job_state_test.cpp
@@ -318,3 +318,21 @@
         CHECK(state.pack_snapshot() == before);
     }
 }
+
+// Failure: one job with more tasks than fit into memory ends every replica that applies it, again
+// after each restart.
+TEST_CASE("a job with more tasks than the replicas can hold is applied")
+{
+    const auto result_of = [](std::uint32_t tasks, std::uint32_t occurrences) {
+        job_definition definition = make_job(tasks, false);
+        definition.occurrences = occurrences;
+        definition.first_due_unix_ms = std::int64_t{1} << 52;
+        job_state state;
+        state.apply(install_configuration{make_configuration(1)});
+        return state.apply(submission(definition));
+    };
+    CHECK(result_of(100, 10'000) == command_result::accepted);
+    CHECK(result_of(100, 10'001) == command_result::invalid_job);
+    CHECK(result_of(1, UINT32_MAX) == command_result::invalid_job);
+    CHECK(result_of(100'001, 1) == command_result::invalid_job);
+}
