--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -241,7 +241,9 @@
         this->record_report(*poll);
     }
     this->propose_ended_runs(poll->worker.incarnation, poll->ended_runs);
-    this->release_refused_starts(*poll);
+    if (current) {
+        this->release_refused_starts(*poll);
+    }
     this->state_changed = true;
     const std::string supervisor = poll->supervisor;
     this->polls[supervisor] = {*std::move(poll), answer, boot_clock::now() + max_poll_wait,
