Propose ended runs together with those that are not committed yet (TWICE)

What callers saw: nothing; found by the review of the fix. Cause: a proposal of later ends went out without the earlier ones. Had the earlier proposal failed, the later numbers would have acknowledged ends that nobody recorded. Evidence: reading only.

--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -289,16 +289,20 @@
     if (ended_runs.empty()) {
         return;
     }
-    const std::uint64_t last_known =
-        std::max(this->state.last_recorded_end(worker), this->proposed_end_numbers[worker]);
+    const std::uint64_t last_recorded = this->state.last_recorded_end(worker);
+    const std::uint64_t last_known = std::max(last_recorded, this->proposed_end_numbers[worker]);
     record_ended_runs command;
     command.worker = worker;
     command.now_unix_ms = unix_ms();
     for (const ended_run& end : ended_runs) {
-        if (end.number <= last_known) {
+        if (end.number <= last_recorded) {
             continue;
         }
+        // Includes the ends of earlier proposals, which may not be committed.
         command.ended_runs.push_back(end);
+        if (end.number <= last_known) {
+            continue;
+        }
         this->job_scheduler.record_run_end(worker, end);
         this->metrics.add("run_ends_total",
                           fmt::format("how=\"{}\"", run_outcome_name(end.outcome)));
@@ -306,7 +310,7 @@
                      end.run.task.job, format_task(end.run.task), end.run.number,
                      run_outcome_name(end.outcome), worker.id, worker.started_unix_ms, end.number);
     }
-    if (command.ended_runs.empty()) {
+    if (command.ended_runs.empty() || command.ended_runs.back().number <= last_known) {
         return;
     }
     this->proposed_end_numbers[worker] = command.ended_runs.back().number;
