--- a/src/include/redwingwheel/scheduler_service.h
+++ b/src/include/redwingwheel/scheduler_service.h
@@ -73,6 +73,7 @@
 
     void tick();
     void decide();
+    [[nodiscard]] std::string_view loss_reason(const worker_incarnation& worker) const;
     void log_waiting(const std::vector<waiting_step>& waiting);
     void propose_advance_time();
 
--- a/src/libjobs/scheduler_runs.cpp
+++ b/src/libjobs/scheduler_runs.cpp
@@ -27,10 +27,12 @@
                                                : std::max(permit_until, known->second.permit_until);
         }
         const bool ended = known != this->workers.end() && known->second.ended;
-        if (!ended && round.now < permit_until + this->options.permit_margin) {
-            continue;
-        }
+        const bool lost = ended || round.now >= permit_until + this->options.permit_margin;
         for (const run_id& run : on_worker) {
+            // An earlier release that was not committed is decided again.
+            if (!lost && !this->releasing.contains(run)) {
+                continue;
+            }
             if (ended && this->is_listed_on_host(run, worker.host)) {
                 continue;
             }
--- a/src/libjobs/scheduler_runs_test.cpp
+++ b/src/libjobs/scheduler_runs_test.cpp
@@ -270,3 +270,17 @@
     w.report("a");
     CHECK(w.decide().releases.size() == 1);
 }
+
+// Failure: a release whose proposal fails is never decided again when its worker is back, and the
+// run stays assigned although it is part of no orders.
+TEST_CASE("a release that was not committed is not decided again")
+{
+    world w;
+    w.add_worker("a", "r1");
+    w.submit("job", "batch", 1, 8);
+    w.decide();
+    w.advance_time(milliseconds(6400));
+    REQUIRE(w.decisions.decide(w.unix_ms).releases.size() == 1);
+    w.report("a");
+    CHECK(w.decide().releases.size() == 1);
+}
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -367,6 +367,7 @@
     std::vector<run_id> unconfirmed;
     for (const run_id& run : this->state.runs_on(worker)) {
         if (this->job_scheduler.is_releasing(run)) {
+            // Not withdrawn either: the supervisor would report it as refused once more.
             continue;
         }
         if (!this->job_scheduler.should_run(run)) {
@@ -653,12 +654,26 @@
     this->logged_waits = std::move(reasons);
 }
 
+/// Returns why the runs of the worker are released.
+std::string_view scheduler_service::loss_reason(const worker_incarnation& worker) const
+{
+    if (this->job_scheduler.has_ended(worker)) {
+        return "worker_ended";
+    }
+    const bool expired = this->job_scheduler.time_since_permit(worker) >= milliseconds(0);
+    return expired ? "permit_expired" : "start_refused";
+}
+
 void scheduler_service::decide()
 {
     const schedule made = this->job_scheduler.decide(unix_ms());
     this->log_evictions(made.evictions);
     this->log_waiting(made.waiting);
-    const auto on_committed = [this](const absl::StatusOr<command_result>& result) {
+    const auto on_committed = [this, decided_in =
+                                         this->term](const absl::StatusOr<command_result>& result) {
+        if (decided_in != this->term) {
+            return;
+        }
         if (!result.ok()) {
             spdlog::warn("event=decision_not_committed error=\"{}\"",
                          errors::message_of(result.status()));
@@ -673,8 +688,7 @@
             spdlog::info("event=run_given_up job={} task={} run={} worker={} born={} reason={} "
                          "permit_expired_ms={}",
                          each.run.task.job, format_task(each.run.task), each.run.number, worker.id,
-                         worker.started_unix_ms,
-                         this->job_scheduler.has_ended(worker) ? "worker_ended" : "permit_expired",
+                         worker.started_unix_ms, this->loss_reason(worker),
                          this->job_scheduler.time_since_permit(worker).count());
         }
         ++this->uncommitted_decisions;
