--- a/src/include/redwingwheel/http_client.h
+++ b/src/include/redwingwheel/http_client.h
@@ -17,8 +17,8 @@
     /// Uses a new connection that is not pooled: when a pooled connection turns out to be closed,
     /// libcurl sends the request a second time.
     bool at_most_once = false;
-    /// Uses pooled connections, but ends with lost_after_send when one of them turns out to be closed
-    /// after a part of the body was sent. Needs a body.
+    /// Unlike `at_most_once`, may use a pooled connection; when that turns out to be closed after a
+    /// part of the body was sent, the request ends with lost_after_send. Needs a body.
     bool send_once = false;
     /// Without a complete response by this time the request ends with lost_after_send, or with
     /// not_connected when no connection was made.
--- a/src/libsupervisor/supervisor.cpp
+++ b/src/libsupervisor/supervisor.cpp
@@ -297,6 +297,8 @@
         if (start.refused || start.in_flight || is_listed(listing, run)) {
             continue;
         }
+        const bool may_repeat = start.unanswered_attempts > 0 &&
+                                this->clock() > start.sent_at + this->options.retry_interval;
         if (start.deadline == 0) {
             this->send_start(run);
         }
@@ -304,9 +306,7 @@
                  this->clock() > start.sent_at + milliseconds(50)) {
             this->mark_refused(run, start, "not_started_in_time");
         }
-        else if (start.unanswered_attempts > 0 &&
-                 listing.clock<start.deadline&& this->clock()> start.sent_at +
-                     this->options.retry_interval) {
+        else if (may_repeat && listing.clock < start.deadline) {
             this->send_start(run);
         }
     }
