--- a/src/libsupervisor/overlap_simulation_test.cpp
+++ b/src/libsupervisor/overlap_simulation_test.cpp
@@ -151,7 +151,7 @@
 TEST_CASE("a task runs twice when a supervisor learns late of the next lifetime of its worker")
 {
     check_seeds(all_faults(), {4, 26, 149});
-    check_seeds({fault_kind::held_up_orders, fault_kind::worker_crash}, {52});
+    check_seeds({fault_kind::held_up_orders, fault_kind::worker_crash}, {52, 82});
 }
 
 // Failure: the worker has seen a higher fencing token than that of the stops that it gets.
