--- a/review/stand_in/stand_in.h
+++ b/review/stand_in/stand_in.h
@@ -201,6 +201,10 @@
     std::string kind = "a";
     /// Sends no heartbeat while set.
     std::atomic<bool> quiet{false};
+    /// The next start gets no answer and is carried out after this time; 0: as usual.
+    std::atomic<std::int64_t> hold_up{0};
+    /// The steady clock at the beginning of a life.
+    std::int64_t first_clock = 1000;
 
 private:
     struct finished {
@@ -247,6 +251,7 @@
     std::int64_t suspended_at = 0;
     std::unique_ptr<http_server> server;
     std::thread ticker;
+    std::vector<std::thread> late_orders;
     std::int64_t next_heartbeat = 0;
 };
 
