Remove a voter only when it is known to be gone

Cause: the leader kept every join request and took each as proof that the member listed at that address had lost its disk. A request of an earlier identity marked its successor, which was alive, as replaced. With the next loss the leader removed this voter; the rest of the list (leader, lost identity, learner) could never commit the removal.

Old join requests in the plan's unit tests do the same. A time limit on requests alone was ruled out, as a request may be late itself, and two identities of one address may both have fresh requests.

Why the fix works: identities at one address follow each other, and a lost one never returns. An identity that answers a message sent after another one was listed is therefore the newer of the two, whatever messages are still on their way. A join request only adds a learner, and not when a member with another identity has answered from its address since. A voter is removed only while the remaining voters in contact are a quorum.

The same class on related paths: a voter that had not answered a new leader yet counted as unreachable at once; the control role's replacement could be blocked by the request of an identity that was lost again, and forgot a learner when the leader changed. Its test of plan_replacement now passes the status of the leader, in which the newer identity must have answered before the older one goes; it checks what it checked before, and that no order of requests removes the newer identity.

The log of a removal now has its reason, so that on-call can tell a replaced member from an unreachable one.

--- a/src/include/redwingwheel/control_service.h
+++ b/src/include/redwingwheel/control_service.h
@@ -12,6 +12,7 @@
 #include "redwingwheel/control_state.h"
 #include "redwingwheel/controller.h"
 #include "redwingwheel/kernel.h"
+#include "redwingwheel/member_change_plan.h"
 #include "redwingwheel/replica_host.h"
 #include "redwingwheel/replication.h"
 #include "redwingwheel/rpc.h"
@@ -77,6 +78,7 @@
     void request_formation(const std::string& address);
     void request_join();
     void advance_replacement();
+    void start_replacement_step(const replication::replacement_step& step);
     [[nodiscard]] replication::formation_answer own_formation() const;
 
     config::settings settings;
@@ -90,8 +92,8 @@
     std::unique_ptr<wire::rpc_server> server;
     /// Latest answer of each replica address.
     std::map<std::string, replication::formation_answer> formation_answers;
-    /// Replicas that asked to replace a lost member, in order of arrival; only on the leader.
-    std::vector<replication::member> join_candidates;
+    /// Of replicas that replace a lost member; only on the leader.
+    cluster::join_request_list join_requests;
     /// Results of applied commands by log index, until their proposer takes them.
     std::map<std::uint64_t, command_result> unclaimed_results;
     bool decision_round_scheduled = false;
--- a/src/include/redwingwheel/formation.h
+++ b/src/include/redwingwheel/formation.h
@@ -8,6 +8,8 @@
 /// Bootstrapping of a replication group, and replacement of a replica that lost its disk.
 namespace redwingwheel::replication {
 
+struct replica_status;
+
 /// Answer of a configured replica to a formation query.
 struct formation_answer {
     std::string address;
@@ -52,10 +54,11 @@
     member subject;
 };
 
-/// Returns the next step that replaces any other member at the address of `joiner` by `joiner`: add
-/// it as a learner, promote it once `caught_up`, then remove the old identity. Call again after
-/// each step has committed; `none` when the replacement is complete.
-[[nodiscard]] replacement_step plan_replacement(const std::vector<member>& members,
-                                                const member& joiner, bool caught_up);
+/// Returns the next step that replaces any older identity at the address of `joiner` by `joiner`:
+/// add it as a learner, promote it once it has caught up, then remove the old identity. Call again
+/// after each step has committed; `none` when the replacement is complete. `status` is that of the
+/// leader. Removes only identities for which is_replaced is true, as the request of `joiner` may be
+/// older than the other member at its address; `wait` until it is known which of the two is newer.
+[[nodiscard]] replacement_step plan_replacement(const replica_status& status, const member& joiner);
 
 } // namespace redwingwheel::replication
--- a/src/include/redwingwheel/group_service.h
+++ b/src/include/redwingwheel/group_service.h
@@ -119,7 +119,7 @@
     /// By address.
     std::map<std::string, known_peer> peers;
     /// Received while leading in the current term.
-    std::map<replication::replica_id, join_request> join_requests;
+    join_request_list join_requests;
     bool stopping = false;
     bool draining = false;
     /// Leadership as last reported to the state machine.
--- a/src/include/redwingwheel/replication.h
+++ b/src/include/redwingwheel/replication.h
@@ -95,6 +95,9 @@
     /// When the leader sent the latest message that this member answered; empty when it has
     /// answered none.
     std::optional<steady_time> last_contact;
+    /// Since when this leader has had the member in its list; for the leader itself, since when it
+    /// has led. Set on the leader only.
+    std::optional<steady_time> listed_since;
     /// True when this member holds all committed entries and answered within an election timeout.
     bool caught_up = false;
 };
@@ -113,6 +116,11 @@
     std::vector<member_status> members;
 };
 
+/// True on the leader when another member has answered from the address of `entry` since `entry`
+/// was listed. One process runs at an address at a time and a lost identity never returns, so that
+/// `entry` is the older identity of the two and its disk is gone.
+[[nodiscard]] bool is_replaced(const member_status& entry, const replica_status& status);
+
 /// One replica of a replicated log. Not thread-safe: the control thread owns it. All its I/O goes
 /// through the log storage and the hooks.
 class replica {
--- a/src/libcluster/group_service.cpp
+++ b/src/libcluster/group_service.cpp
@@ -330,11 +330,10 @@
     if (!candidate.has_value() || !this->leads()) {
         return;
     }
-    if (!this->join_requests.contains(candidate->id)) {
+    if (this->join_requests.record(*candidate, boot_clock::now())) {
         spdlog::info("event=join_requested address={} identity={:016x}", candidate->address,
                      candidate->id.value);
     }
-    this->join_requests[candidate->id] = {*candidate, boot_clock::now()};
 }
 
 void group_service::tick()
--- a/src/libcluster/group_service_members.cpp
+++ b/src/libcluster/group_service_members.cpp
@@ -115,18 +115,17 @@
     }
     member_change_options options;
     options.tolerated_losses = this->settings.cluster.tolerated_losses;
-    std::vector<join_request> requests;
-    for (const auto& [id, request] : this->join_requests) {
-        requests.push_back(request);
-    }
-    const member_change_step step = plan_member_change(this->hosted_replica->replica().status(),
-                                                       requests, options, boot_clock::now());
-    const replication::replica::status_callback report =
-        [address = step.subject.address, id = step.subject.id,
-         action = static_cast<int>(step.action)](const absl::Status& result) {
-            spdlog::info("event=member_changed action={} address={} identity={:016x} result=\"{}\"",
-                         action, address, id.value, result.ToString());
-        };
+    const replication::replica_status status = this->hosted_replica->replica().status();
+    const steady_time now = boot_clock::now();
+    this->join_requests.prune(status, options, now);
+    const member_change_step step =
+        plan_member_change(status, this->join_requests.requests(), options, now);
+    const replication::replica::status_callback report = [step](const absl::Status& result) {
+        spdlog::info("event=member_changed action={} address={} identity={:016x} reason={} "
+                     "result=\"{}\"",
+                     action_name(step.action), step.subject.address, step.subject.id.value,
+                     step.reason, result.ToString());
+    };
     switch (step.action) {
     case member_change_action::add_learner:
         this->hosted_replica->replica().add_learner(step.subject, report);
--- a/src/libcluster/member_change_plan_test.cpp
+++ b/src/libcluster/member_change_plan_test.cpp
@@ -18,11 +18,13 @@
 }
 
 member_status make_member_status(const member& candidate, milliseconds contact_age,
-                                 bool caught_up = true)
+                                 bool caught_up = true,
+                                 milliseconds listed_age = milliseconds(60'000))
 {
     member_status status;
     status.member_entry = candidate;
     status.last_contact = now - contact_age;
+    status.listed_since = now - listed_age;
     status.caught_up = caught_up;
     return status;
 }
@@ -104,8 +106,8 @@
     CHECK(first.action == member_change_action::add_learner);
     CHECK(first.subject.id.value == 7);
     replication::replica_status status_after_join = status;
-    status_after_join.members.push_back(
-        make_member_status(make_member(7, "c", "z", false), milliseconds(50)));
+    status_after_join.members.push_back(make_member_status(
+        make_member(7, "c", "z", false), milliseconds(50), true, milliseconds(500)));
     const member_change_step second =
         plan_member_change(status_after_join, join_requests, member_change_options(), now);
     CHECK(second.action == member_change_action::remove);
@@ -121,3 +123,54 @@
                              now)
               .action == member_change_action::none);
 }
+
+// Failure: a request of an identity that was lost with its disk, received before the present
+// identity joined or long on its way, marks the live voter at its address as replaced. With the
+// next loss the leader removes this voter, and the group has no quorum for good.
+TEST_CASE("a live voter is not removed because of a request of its predecessor")
+{
+    replication::replica_status status = three_voters(milliseconds(9000));
+    status.members.push_back(make_member_status(make_member(4, "c", "z", false), milliseconds(50),
+                                                true, milliseconds(500)));
+    const std::vector<join_request> join_requests{
+        {make_member(9, "b", "y", false), now - std::chrono::seconds(60)},
+        {make_member(10, "b", "y", false), now - milliseconds(100)},
+        {make_member(4, "c", "z", false), now - milliseconds(600)}};
+    const member_change_step step =
+        plan_member_change(status, join_requests, member_change_options(), now);
+    CHECK(step.action == member_change_action::remove);
+    CHECK(step.subject.id.value == 3);
+}
+
+// Failure: a request of an identity that is gone adds it as a learner.
+TEST_CASE("a request is ignored when a member has answered from its address since")
+{
+    const std::vector<join_request> join_requests{
+        {make_member(9, "b", "y", false), now - milliseconds(100)}};
+    CHECK(plan_member_change(three_voters(milliseconds(50)), join_requests, member_change_options(),
+                             now)
+              .action == member_change_action::none);
+}
+
+// Failure: a new leader removes a live voter whose first answer is still on its way.
+TEST_CASE("a voter that has not answered a new leader yet is not removed at once")
+{
+    replication::replica_status status = three_voters(milliseconds(50));
+    status.members.push_back(make_member_status(make_member(4, "d", "z", false), milliseconds(50)));
+    status.members[2].last_contact.reset();
+    status.members[2].listed_since = now - milliseconds(300);
+    CHECK(plan_member_change(status, {}, member_change_options(), now).action ==
+          member_change_action::none);
+    status.members[2].listed_since = now - milliseconds(1600);
+    CHECK(plan_member_change(status, {}, member_change_options(), now).subject.id.value == 3);
+}
+
+// Failure: a removal leaves voters of which no quorum is in contact, and can never commit.
+TEST_CASE("no voter is removed while the remaining ones in contact are no quorum")
+{
+    replication::replica_status status = three_voters(milliseconds(9000));
+    status.members[1].last_contact = now - milliseconds(2000);
+    status.members.push_back(make_member_status(make_member(4, "d", "z", false), milliseconds(50)));
+    CHECK(plan_member_change(status, {}, member_change_options(), now).action ==
+          member_change_action::none);
+}
--- a/src/libcontrol/control_service.cpp
+++ b/src/libcontrol/control_service.cpp
@@ -318,7 +318,7 @@
         return;
     }
     this->decisions->end_leadership();
-    this->join_candidates.clear();
+    this->join_requests.clear();
 }
 
 void control_service::propose(const command& of, command_callback done)
--- a/src/libcontrol/control_service_members.cpp
+++ b/src/libcontrol/control_service_members.cpp
@@ -32,14 +32,10 @@
     if (!candidate.has_value() || !this->host.replica().leads()) {
         return;
     }
-    for (const replication::member& known : this->join_candidates) {
-        if (known.id == candidate->id) {
-            return;
-        }
+    if (this->join_requests.record(*candidate, boot_clock::now())) {
+        spdlog::info("event=join_requested address={} identity={:016x}", candidate->address,
+                     candidate->id.value);
     }
-    spdlog::info("event=join_requested address={} identity={:016x}", candidate->address,
-                 candidate->id.value);
-    this->join_candidates.push_back(*candidate);
 }
 
 void control_service::find_or_form_group()
@@ -105,19 +101,31 @@
 
 void control_service::advance_replacement()
 {
-    if (this->join_candidates.empty() || !this->host.replica().leads()) {
+    if (!this->host.replica().leads()) {
         return;
     }
-    const replication::member candidate = this->join_candidates.front();
     const replication::replica_status status = this->host.replica().status();
-    bool caught_up = false;
+    this->join_requests.prune(status, cluster::member_change_options(), boot_clock::now());
+    // A member no longer asks to join, so that the list of members also counts.
+    std::vector<replication::member> joiners;
     for (const replication::member_status& each : status.members) {
-        if (each.member_entry.id == candidate.id) {
-            caught_up = each.caught_up;
+        joiners.push_back(each.member_entry);
+    }
+    for (const cluster::join_request& request : this->join_requests.requests()) {
+        joiners.push_back(request.candidate);
+    }
+    for (const replication::member& joiner : joiners) {
+        const replication::replacement_step step = replication::plan_replacement(status, joiner);
+        if (step.action != replication::replacement_action::none &&
+            step.action != replication::replacement_action::wait) {
+            this->start_replacement_step(step);
+            return;
         }
     }
-    const replication::replacement_step step =
-        replication::plan_replacement(this->host.replica().members(), candidate, caught_up);
+}
+
+void control_service::start_replacement_step(const replication::replacement_step& step)
+{
     const replication::replica::status_callback report = [address = step.subject.address](
                                                              const absl::Status& result) {
         spdlog::info("event=member_changed address={} result=\"{}\"", address, result.ToString());
@@ -133,8 +141,6 @@
         this->host.replica().remove(step.subject.id, report);
         return;
     case replication::replacement_action::none:
-        this->join_candidates.erase(this->join_candidates.begin());
-        return;
     case replication::replacement_action::wait:
         return;
     }
--- a/src/libreplication/formation.cpp
+++ b/src/libreplication/formation.cpp
@@ -4,6 +4,8 @@
 #include <map>
 #include <set>
 
+#include "redwingwheel/replication.h"
+
 namespace redwingwheel::replication {
 
 namespace {
@@ -55,32 +57,39 @@
     return decision;
 }
 
-replacement_step plan_replacement(const std::vector<member>& members, const member& joiner,
-                                  bool caught_up)
+replacement_step plan_replacement(const replica_status& status, const member& joiner)
 {
-    const member* const current = find_member(members, joiner.id);
+    const member_status* current = nullptr;
     const member* old_voter = nullptr;
-    for (const member& other : members) {
-        if (other.address != joiner.address || other.id == joiner.id) {
-            continue;
+    bool has_rival = false;
+    for (const member_status& each : status.members) {
+        if (each.member_entry.id == joiner.id) {
+            current = &each;
         }
-        if (!other.voter) {
-            // A learner that lost its disk before its promotion does not count towards a quorum, so
-            // it can be removed at once.
-            return {replacement_action::remove, other};
+        else if (each.member_entry.address == joiner.address) {
+            if (!is_replaced(each, status)) {
+                has_rival = true;
+                continue;
+            }
+            if (!each.member_entry.voter) {
+                // A learner that lost its disk before its promotion does not count towards a
+                // quorum, so it can be removed at once.
+                return {replacement_action::remove, each.member_entry};
+            }
+            old_voter = &each.member_entry;
         }
-        old_voter = &other;
     }
     if (current == nullptr) {
         return {replacement_action::add_learner, joiner};
     }
-    if (!current->voter) {
-        return {caught_up ? replacement_action::promote : replacement_action::wait, *current};
+    if (!current->member_entry.voter) {
+        return {current->caught_up ? replacement_action::promote : replacement_action::wait,
+                current->member_entry};
     }
     if (old_voter != nullptr) {
         return {replacement_action::remove, *old_voter};
     }
-    return {};
+    return {has_rival ? replacement_action::wait : replacement_action::none, {}};
 }
 
 } // namespace redwingwheel::replication
--- a/src/libreplication/formation_test.cpp
+++ b/src/libreplication/formation_test.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include "redwingwheel/replication.h"
+
+using namespace redwingwheel;
 using namespace redwingwheel::replication;
 
 namespace {
@@ -12,6 +15,16 @@
         std::string("10.0.0.") + letter, "north", {static_cast<std::uint64_t>(letter)}, has_state};
 }
 
+member_status listed_member(const member& entry, steady_time listed_since,
+                            std::optional<steady_time> last_contact)
+{
+    member_status status;
+    status.member_entry = entry;
+    status.listed_since = listed_since;
+    status.last_contact = last_contact;
+    return status;
+}
+
 formation_decision decide(const formation_answer& self, std::vector<formation_answer> answers)
 {
     return decide_formation({self, {"10.0.0.2", "10.0.0.1", "10.0.0.3"}, std::move(answers)});
@@ -41,22 +54,38 @@
     REQUIRE(decide(answer('1'), {answer('2'), copied}).action == formation_action::wait);
 }
 
-// Guards against removing the old identity before the new one holds the log, and against learners
-// that accumulate when a host loses its disk again while it joins.
+// Guards against removing the old identity before the new one holds the log, against learners that
+// accumulate when a host loses its disk again while it joins, and against the removal of a member
+// because of an old request of its predecessor.
 TEST_CASE("a replacement adds a learner, promotes it, then removes the old member", "[formation]")
 {
+    const steady_time listed = steady_time() + milliseconds(1000);
+    const steady_time answered = listed + milliseconds(50);
     const member joiner{{9}, "10.0.0.3", "north", false};
-    std::vector<member> members{{{1}, "10.0.0.1", "north", true}, {{3}, "10.0.0.3", "north", true}};
-    REQUIRE(plan_replacement(members, joiner, false).action == replacement_action::add_learner);
-    members.push_back(joiner);
-    REQUIRE(plan_replacement(members, joiner, false).action == replacement_action::wait);
-    REQUIRE(plan_replacement(members, joiner, true).action == replacement_action::promote);
+    replica_status status;
+    status.members = {listed_member({{1}, "10.0.0.1", "north", true}, listed, answered),
+                      listed_member({{3}, "10.0.0.3", "north", true}, listed, std::nullopt)};
+    REQUIRE(plan_replacement(status, joiner).action == replacement_action::add_learner);
+    status.members.push_back(listed_member(joiner, listed, std::nullopt));
+    REQUIRE(plan_replacement(status, joiner).action == replacement_action::wait);
+    status.members.back() = listed_member(joiner, listed, answered);
+    status.members.back().caught_up = true;
+    REQUIRE(plan_replacement(status, joiner).action == replacement_action::promote);
+
     const member next_joiner{{10}, "10.0.0.3", "north", false};
-    REQUIRE(plan_replacement(members, next_joiner, true).subject.id == replica_id{9});
-    members.back().voter = true;
-    const replacement_step last = plan_replacement(members, joiner, true);
+    replica_status after_second_loss = status;
+    REQUIRE(plan_replacement(after_second_loss, next_joiner).action ==
+            replacement_action::add_learner);
+    after_second_loss.members.push_back(
+        listed_member(next_joiner, answered + milliseconds(100), answered + milliseconds(150)));
+    REQUIRE(plan_replacement(after_second_loss, next_joiner).action == replacement_action::remove);
+    REQUIRE(plan_replacement(after_second_loss, next_joiner).subject.id == replica_id{9});
+    REQUIRE(plan_replacement(after_second_loss, joiner).subject.id != replica_id{10});
+
+    status.members.back().member_entry.voter = true;
+    const replacement_step last = plan_replacement(status, joiner);
     REQUIRE(last.action == replacement_action::remove);
     REQUIRE(last.subject.id == replica_id{3});
-    members.erase(members.begin() + 1);
-    REQUIRE(plan_replacement(members, joiner, true).action == replacement_action::none);
+    status.members.erase(status.members.begin() + 1);
+    REQUIRE(plan_replacement(status, joiner).action == replacement_action::none);
 }
--- a/src/libreplication/replica.cpp
+++ b/src/libreplication/replica.cpp
@@ -227,11 +227,15 @@
         if (found != this->peers.end()) {
             entry.match_index = found->second.match_index;
             entry.last_contact = found->second.last_contact;
+            entry.listed_since = found->second.listed_since;
             entry.caught_up = this->is_caught_up(listed_member.id);
         }
         else if (listed_member.id == this->identity && !this->stopped()) {
             entry.match_index = report.last_log_index;
             entry.last_contact = this->now();
+            if (this->role == replica_role::leader) {
+                entry.listed_since = this->leader_since;
+            }
             entry.caught_up = this->role == replica_role::leader;
         }
     }
--- a/src/libreplication/replica_core.h
+++ b/src/libreplication/replica_core.h
@@ -18,6 +18,8 @@
     log_index next_index;
     /// The last entry known to be durable on the peer.
     log_index match_index;
+    /// When the peer was added to this leader's member list, or the leader was elected.
+    steady_time listed_since;
     /// The latest message round that the peer answered, and when that round was sent.
     std::uint64_t answered_round = 0;
     std::optional<steady_time> last_contact;
--- a/src/libreplication/replica_members.cpp
+++ b/src/libreplication/replica_members.cpp
@@ -6,6 +6,17 @@
 
 namespace redwingwheel::replication {
 
+bool is_replaced(const member_status& entry, const replica_status& status)
+{
+    return std::any_of(
+        status.members.begin(), status.members.end(), [&entry](const member_status& other) {
+            return other.member_entry.address == entry.member_entry.address &&
+                   other.member_entry.id != entry.member_entry.id &&
+                   entry.listed_since.has_value() && other.last_contact.has_value() &&
+                   *other.last_contact >= *entry.listed_since;
+        });
+}
+
 const std::vector<member>& replica::core::members() const
 {
     static const std::vector<member> none;
@@ -64,6 +75,7 @@
         }
         peer_progress peer;
         peer.next_index = this->durable_index + 1;
+        peer.listed_since = this->now();
         tracked.emplace(listed_member.id, std::move(peer));
     }
     this->peers = std::move(tracked);
--- a/src/libreplication/testing/test_cluster_client.cpp
+++ b/src/libreplication/testing/test_cluster_client.cpp
@@ -85,13 +85,7 @@
         if (joiner.node == nullptr || !joiner.joining) {
             continue;
         }
-        bool caught_up = false;
-        for (const member_status& entry : report.members) {
-            caught_up =
-                caught_up || (entry.member_entry.id == joiner.node->identity() && entry.caught_up);
-        }
-        replacement_step next =
-            plan_replacement(leader.members(), this->member_of_host(host), caught_up);
+        replacement_step next = plan_replacement(report, this->member_of_host(host));
         if (next.action == replacement_action::none && host == spare && this->remove_spare) {
             next = {replacement_action::remove, this->member_of_host(host)};
         }
