Replace a lost voter before the next loss is allowed

What callers would see: a host of the group is replaced for good by another one, and when another host loses its disk 4 s after the successor has started, no leader is elected again. Deployments allow that loss after CatchUpS, which is 4 s on the small ones.

Cause: an unreachable voter was removed 4 s after its last answer, and its replacement was promoted up to 0.4 s later still. A loss in between leaves one live voter of two.

Evidence: member_change_simulation_test with hosts that are replaced by others, added here.

Change: the contact timeout is 3 s, so that the replacement is complete within 3.5 s. It is still longer than a restart takes. The promotion of the learner before the removal was ruled out: with four voters of which one is lost, the next loss leaves two of four.

--- a/src/include/redwingwheel/member_change_plan.h
+++ b/src/include/redwingwheel/member_change_plan.h
@@ -26,8 +26,9 @@
     milliseconds quorum_contact_age{1000};
     /// A member that has not answered the leader for this long counts as unreachable: a voter is
     /// removed once a caught-up learner can replace it, a learner once no voter is missing. Longer
-    /// than a restart takes, so that a restarted voter stays a member.
-    milliseconds contact_timeout{4000};
+    /// than a restart takes, so that a restarted voter stays a member. A lost voter must have been
+    /// replaced before another loss is allowed, which is 4 s after its successor has started.
+    milliseconds contact_timeout{3000};
     /// The same for a member that has not answered this leader yet. Shorter, because its
     /// predecessor was silent for an election timeout before, and a voter that is reachable answers
     /// within a round trip.
--- a/src/libcluster/member_change_simulation_test.cpp
+++ b/src/libcluster/member_change_simulation_test.cpp
@@ -10,8 +10,8 @@
 #include "testing/fake_disk.h"
 
 /// Replicas on simulated hosts whose members are changed as by group_service, while hosts lose
-/// their disks, are killed, frozen or cut off, never more of them at a time than the group
-/// tolerates. Join requests may arrive seconds late.
+/// their disks, are killed, frozen, cut off or replaced by others, never more of them at a time
+/// than the group tolerates. Join requests may arrive seconds late.
 using namespace redwingwheel;
 using namespace redwingwheel::cluster;
 using replication::member;
@@ -86,6 +86,7 @@
         std::unique_ptr<replication::file_log_storage> storage;
         std::unique_ptr<replica> node;
         join_request_list join_requests;
+        bool removed = false;
         bool cut = false;
         steady_time paused_until;
         bool disturbed = false; ///< By a fault, or counted as lost after it.
@@ -117,7 +118,7 @@
         this->clock.advance_to(end);
     }
 
-    void add_host()
+    host& add_host()
     {
         const std::size_t number = this->hosts.size();
         host& added = *this->hosts.emplace_back(std::make_unique<host>());
@@ -129,6 +130,7 @@
         this->tick(added);
         this->request_join(added);
         this->change_members(added);
+        return added;
     }
 
     void start(host& target)
@@ -196,11 +198,16 @@
         if (this->runs(target)) {
             target.node->tick();
         }
-        this->schedule(tick_period, [this, &target] { this->tick(target); });
+        if (!target.removed) {
+            this->schedule(tick_period, [this, &target] { this->tick(target); });
+        }
     }
 
     void request_join(host& from)
     {
+        if (from.removed) {
+            return;
+        }
         this->schedule(join_period, [this, &from] { this->request_join(from); });
         if (!this->runs(from) || from.cut || from.node->leads() ||
             (replication::find_member(from.node->members(), from.node->identity()) != nullptr &&
@@ -223,6 +230,9 @@
 
     void change_members(host& leader)
     {
+        if (leader.removed) {
+            return;
+        }
         this->schedule(member_change_period, [this, &leader] { this->change_members(leader); });
         if (!this->runs(leader) || !leader.node->leads()) {
             return;
@@ -283,7 +293,7 @@
     {
         std::vector<host*> sound;
         for (const std::unique_ptr<host>& each : this->hosts) {
-            if (!each->disturbed) {
+            if (!each->removed && !each->disturbed) {
                 sound.push_back(each.get());
             }
         }
@@ -292,7 +302,7 @@
         const auto end_after = [this, &target](milliseconds duration) {
             this->schedule(duration, [this, &target] { this->end_fault(target); });
         };
-        switch (this->generator() % 5) {
+        switch (this->generator() % 6) {
         case 0: // killed
             target.node.reset();
             return end_after(this->random_time(200, 6000));
@@ -303,6 +313,14 @@
         case 2: // cut off
             target.cut = true;
             return end_after(this->random_time(500, 7000));
+        case 3: { // replaced by another host with an empty disk
+            target.node.reset();
+            target.removed = true;
+            host& successor = this->add_host();
+            successor.disturbed = true;
+            this->schedule(milliseconds(0), [this, &successor] { this->end_fault(successor); });
+            return;
+        }
         default: // its disk is lost
             target.node.reset();
             target.disk.wipe();
