Replace a lost voter in time although the leader changes

What callers would see: two hosts of a group that tolerates two losses are lost one after the other, one of them the leader. When a third one is lost after the first has long been replaced by a new host, no leader is elected again.

Cause: a new leader waits for the first answer of each voter before it counts it as unreachable. With the time that the old leader had waited, the election and the commits, the first replacement took 6.15 s, longer than the 6 s that such a deployment allows.

Change: the wait for the first answer is 1 s, several heartbeats.

--- a/src/include/redwingwheel/member_change_plan.h
+++ b/src/include/redwingwheel/member_change_plan.h
@@ -32,7 +32,7 @@
     /// The same for a member that has not answered this leader yet. Shorter, because its
     /// predecessor was silent for an election timeout before, and a voter that is reachable answers
     /// within a round trip.
-    milliseconds first_contact_timeout{1500};
+    milliseconds first_contact_timeout{1000};
 
     /// Number of voters that the group shall have.
     [[nodiscard]] std::size_t target_voter_count() const { return this->tolerated_losses * 2 + 1; }
