Acknowledge the end of a run that was given away only after the lease

A run ends as done, its machine is suspended at that moment, the leader gives the run away, and when the machine continues the first end is acknowledged after the second run has started.

Cause: the leader recorded the number of each end, also of one that changes nothing because its run had been released, and the supervisor acknowledges up to that number. The worker's lease counts on a clock that stands still during a suspension, so that it had not expired in between.

Ruled out: withholding the acknowledgement alone (one number covers all ends of a worker, which would stay unacknowledged while new runs extend the lease); letting the lease expire after every loss of the permit (costs running work); fencing (voids orders, not ends).

Why the fix works: the replicated state keeps the released runs of a job. The end of such a run as done or failed is superseded when its task may have been started again. While a worker lists one, its supervisor neither extends the lease nor starts or acknowledges anything until the worker's clock is past every deadline that the worker may have received, its predecessor's included. An end is void when the lease expires before its acknowledgement. The worker gets no new runs meanwhile, nor after an expired permit before it has listed its runs again. Renewals that are answered at once are paced.

--- a/src/include/redwingwheel/job_messages.h
+++ b/src/include/redwingwheel/job_messages.h
@@ -93,8 +93,11 @@
     /// Ended incarnations of which all ended runs in the poll are recorded.
     std::vector<jobs::worker_incarnation> recorded_incarnations;
     std::uint64_t orders_digest = 0;
+    /// Ended runs up to this number may be acknowledged to the worker only after its lease has
+    /// expired; see job_state::last_superseded_end.
+    std::uint64_t last_superseded_end = 0;
     MSGPACK_DEFINE(term, permit_ms, last_recorded_end, desired_runs, starts, withdrawn,
-                   recorded_incarnations, orders_digest, tokens, has_orders)
+                   recorded_incarnations, orders_digest, tokens, has_orders, last_superseded_end)
 };
 
 enum class job_operation : std::uint8_t {
--- a/src/include/redwingwheel/job_state.h
+++ b/src/include/redwingwheel/job_state.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <variant>
 #include <vector>
@@ -175,6 +176,8 @@
     /// Occurrences that have begun and not ended, by number.
     std::map<std::uint32_t, occurrence_record> open_occurrences;
     std::uint32_t begun_occurrences = 0;
+    /// Runs that were released and that their workers have not listed as ended since.
+    std::set<run_id> released_runs;
 
     [[nodiscard]] bool ended() const { return this->status >= job_status::completed; }
     [[nodiscard]] std::uint32_t occurrence_count() const
@@ -183,7 +186,7 @@
     }
     MSGPACK_DEFINE(queue, service, account, priority, max_attempts, stretch, latency_target_ms,
                    definition, submitted_unix_ms, ended_unix_ms, status, open_occurrences,
-                   begun_occurrences)
+                   begun_occurrences, released_runs)
 };
 
 enum class command_result : std::uint8_t {
@@ -232,6 +235,13 @@
     [[nodiscard]] bool can_count_crash(const run_id& run) const;
     /// Number of the last ended run of `worker` that is recorded; 0: none.
     [[nodiscard]] std::uint64_t last_recorded_end(const worker_incarnation& worker) const;
+    /// Number of the last superseded end among the recorded ones of `worker`; 0: none. An end is
+    /// superseded when its task may have been started elsewhere after it. It changes nothing, and
+    /// must not be acknowledged before the worker's lease has expired.
+    [[nodiscard]] std::uint64_t last_superseded_end(const worker_incarnation& worker) const;
+    /// True when one of the ends that `worker` lists is superseded, recorded or not.
+    [[nodiscard]] bool has_superseded_end(const worker_incarnation& worker,
+                                          std::span<const ended_run> ended_runs) const;
 
     /// Returns the queue of `host` with the longest prefix of `path`, or null.
     [[nodiscard]] const queue_definition* find_queue(std::string_view host,
@@ -249,7 +259,8 @@
         std::set<std::string> evacuated;
         std::map<std::string, job_record> jobs;
         std::map<worker_incarnation, std::uint64_t> last_recorded_ends;
-        MSGPACK_DEFINE(configuration, evacuated, jobs, last_recorded_ends)
+        std::map<worker_incarnation, std::uint64_t> last_superseded_ends;
+        MSGPACK_DEFINE(configuration, evacuated, jobs, last_recorded_ends, last_superseded_ends)
     };
 
     command_result apply_command(const install_configuration& command);
@@ -263,6 +274,7 @@
     command_result apply_command(const record_worker_crash& command);
 
     [[nodiscard]] bool can_assign(const assignment& each) const;
+    [[nodiscard]] bool is_superseded(const ended_run& end) const;
     void record_end(const ended_run& end, std::int64_t now_unix_ms);
     static void store_checkpoint(const step_definition& definition, step_record& step,
                                  const run_id& run, const std::string& checkpoint, bool from_stop);
--- a/src/include/redwingwheel/supervisor.h
+++ b/src/include/redwingwheel/supervisor.h
@@ -53,6 +53,10 @@
 /// one only when the worker itself has listed its runs as this incarnation, under a fencing token
 /// that voids all orders that were sent before. A deregistered worker has ended once its host
 /// refuses connections.
+///
+/// The lease counts on the worker's clock, which stands still while the host is suspended, and the
+/// leader may give runs away in that time. An end from before is acknowledged only after the lease
+/// has expired, which voids it.
 class supervisor {
 public:
     supervisor(const supervisor_options& options, clock_function clock, worker_port& port,
@@ -113,6 +117,7 @@
     void log_unordered_runs(const worker_listing& listing);
     void log_permit(bool valid);
     void renew();
+    void renew_after(milliseconds pause);
     void set_reachable(bool reachable);
     void on_renewal(std::uint64_t token, const absl::StatusOr<worker_listing>& listing);
     void on_renewal_failed(const absl::Status& status);
@@ -133,6 +138,11 @@
     void clear_recorded_ends(const std::vector<worker_incarnation>& recorded_incarnations);
     void on_poll_answer(const messages::worker_poll_answer& answer, steady_time sent_at);
     [[nodiscard]] std::optional<worker_time_ms> lease_limit() const;
+    /// True while the worker lists an end that must not be acknowledged before its lease has
+    /// expired. Until then the lease is not extended and nothing is started.
+    [[nodiscard]] bool must_lapse() const;
+    void check_lapse(const worker_listing& listing);
+    [[nodiscard]] bool is_available() const;
 
     supervisor_options options;
     clock_function clock;
@@ -158,6 +168,13 @@
     std::vector<run_progress> running;
     std::map<std::uint64_t, ended_run> ended_runs;
     std::uint64_t last_recorded_end = 0;
+    /// Highest lease end and start deadline that the worker may have received.
+    worker_time_ms granted_until = 0;
+    /// Number of the first ended run in the last listing; 0: none.
+    std::uint64_t first_listed_end = 0;
+    std::uint64_t last_superseded_end = 0;
+    /// The lease has expired since the ends up to this number were listed.
+    std::uint64_t last_lapsed_end = 0;
 
     std::uint64_t term = 0;
     steady_time permit_until;
@@ -172,6 +189,8 @@
 
     bool renewing = false;
     steady_time renewal_sent_at;
+    /// When the renewal was sent that the worker has answered last.
+    steady_time listing_requested_at;
     std::uint64_t renewal_number = 0;
     /// Consecutive renewals that failed because the worker's host refused the connection.
     std::size_t refused_renewals = 0;
--- a/src/libjobs/job_state.cpp
+++ b/src/libjobs/job_state.cpp
@@ -194,7 +194,14 @@
             continue;
         }
         recorded = end.number;
+        if (this->is_superseded(end)) {
+            this->replicated.last_superseded_ends[command.worker] = end.number;
+        }
         this->record_end(end, command.now_unix_ms);
+        const auto job = this->replicated.jobs.find(end.run.task.job);
+        if (job != this->replicated.jobs.end()) {
+            job->second.released_runs.erase(end.run);
+        }
     }
     return command_result::accepted;
 }
@@ -209,6 +216,7 @@
             continue;
         }
         job_record& job = this->replicated.jobs.at(id.job);
+        job.released_runs.insert(each.run);
         step_record& step = job.open_occurrences.at(id.occurrence).steps[id.step];
         task_record& task = step.tasks[id.index];
         store_checkpoint(job.definition.steps[id.step], step, each.run, each.checkpoint, false);
@@ -230,6 +238,23 @@
     return command_result::accepted;
 }
 
+/// Only ends as done or failed matter: a task must not be started again after the one, and only so
+/// often after the other. The task is certainly not started again while the run is its last one. Of
+/// a forgotten job nothing is known.
+bool job_state::is_superseded(const ended_run& end) const
+{
+    if (end.outcome != run_outcome::done && end.outcome != run_outcome::failed) {
+        return false;
+    }
+    const job_record* const job = this->find(end.run.task.job);
+    if (job == nullptr) {
+        return true;
+    }
+    const task_record* const task = this->find(end.run.task);
+    const bool is_last_run = task != nullptr && task->last_run == end.run.number;
+    return job->released_runs.contains(end.run) && !is_last_run;
+}
+
 void job_state::record_end(const ended_run& end, std::int64_t now_unix_ms)
 {
     const task_id& id = end.run.task;
@@ -426,6 +451,22 @@
     return found == this->replicated.last_recorded_ends.end() ? 0 : found->second;
 }
 
+std::uint64_t job_state::last_superseded_end(const worker_incarnation& worker) const
+{
+    const auto found = this->replicated.last_superseded_ends.find(worker);
+    return found == this->replicated.last_superseded_ends.end() ? 0 : found->second;
+}
+
+bool job_state::has_superseded_end(const worker_incarnation& worker,
+                                   std::span<const ended_run> ended_runs) const
+{
+    const std::uint64_t recorded = this->last_recorded_end(worker);
+    const std::uint64_t superseded = this->last_superseded_end(worker);
+    return std::any_of(ended_runs.begin(), ended_runs.end(), [&](const ended_run& each) {
+        return each.number <= recorded ? each.number <= superseded : this->is_superseded(each);
+    });
+}
+
 const queue_definition* job_state::find_queue(std::string_view host, std::string_view path) const
 {
     const queue_definition* best = nullptr;
--- a/src/libjobs/job_state_test.cpp
+++ b/src/libjobs/job_state_test.cpp
@@ -336,3 +336,60 @@
     CHECK(result_of(1, UINT32_MAX) == command_result::invalid_job);
     CHECK(result_of(100'001, 1) == command_result::invalid_job);
 }
+
+// Failure: an end from before a suspension of the worker's host is acknowledged after its task was
+// started elsewhere, and the work counts twice.
+TEST_CASE("the end of a released run is superseded once its task may run elsewhere")
+{
+    job_state state = state_with_job(make_job(2, false));
+    state.apply(assign({{run_of(0, 1), worker_a}, {run_of(1, 1), worker_a}}));
+    state.apply(release_runs{{{run_of(0, 1), ""}, {run_of(1, 1), ""}}, 1200});
+    state.apply(assign({{run_of(0, 2), worker_b}}));
+    const std::vector<ended_run> ends{{4, run_of(0, 1), run_outcome::done, ""},
+                                      {5, run_of(1, 1), run_outcome::done, ""}};
+    CHECK(state.has_superseded_end(worker_a, ends));
+    state.apply(ended_on(worker_a, ends));
+    CHECK(state.last_recorded_end(worker_a) == 5);
+    // The second task was not started again, so that its end counts.
+    CHECK(state.last_superseded_end(worker_a) == 4);
+    CHECK(state.find(run_of(0, 2).task)->phase == task_phase::assigned);
+    CHECK(state.find(run_of(1, 1).task)->phase == task_phase::done);
+    CHECK(state.last_superseded_end(worker_b) == 0);
+
+    job_state restored;
+    REQUIRE(restored.restore_snapshot(state.pack_snapshot()).ok());
+    CHECK(restored.last_superseded_end(worker_a) == 4);
+}
+
+// Failure: a failed run is acknowledged that does not count as an attempt, and the task is started
+// more often than allowed.
+TEST_CASE("a failed end is superseded in the same way, and a stopped one is not")
+{
+    for (const run_outcome outcome : {run_outcome::failed, run_outcome::stopped}) {
+        job_state state = state_with_job(make_job(1, false));
+        state.apply(assign({{run_of(0, 1), worker_a}}));
+        state.apply(release_runs{{{run_of(0, 1), ""}}, 1200});
+        state.apply(assign({{run_of(0, 2), worker_b}}));
+        state.apply(ended_on(worker_a, {{1, run_of(0, 1), outcome, ""}}));
+        CHECK(state.last_superseded_end(worker_a) == (outcome == run_outcome::failed ? 1 : 0));
+    }
+}
+
+// Failure: the lease of a worker has to expire because of the ends of a gang's other members.
+TEST_CASE("the ends of all members of a gang that is done are acknowledged at once")
+{
+    job_state state = state_with_job(make_job(2, true));
+    state.apply(assign({{run_of(0, 1), worker_a}, {run_of(1, 1), worker_b}}));
+    state.apply(ended_on(worker_a, {{1, run_of(0, 1), run_outcome::done, ""}}));
+    state.apply(ended_on(worker_b, {{1, run_of(1, 1), run_outcome::done, ""}}));
+    CHECK(state.find(job_id)->status == job_status::completed);
+    CHECK(state.last_superseded_end(worker_b) == 0);
+}
+
+// Failure: the end of a run whose job has been completed elsewhere and forgotten is acknowledged.
+TEST_CASE("the end of a run of an unknown job is superseded")
+{
+    job_state state;
+    state.apply(ended_on(worker_a, {{1, run_of(0, 1), run_outcome::done, ""}}));
+    CHECK(state.last_superseded_end(worker_a) == 1);
+}
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -255,7 +255,11 @@
 {
     const worker_incarnation& worker = poll.worker.incarnation;
     const std::optional<resources> before = this->job_scheduler.announced_capacity(worker);
-    this->job_scheduler.record_report(poll.worker, poll.running);
+    worker_description described = poll.worker;
+    // Its lease has to expire first.
+    described.reachable =
+        described.reachable && !this->state.has_superseded_end(worker, poll.ended_runs);
+    this->job_scheduler.record_report(described, poll.running);
     const resources& after = poll.worker.capacity;
     if (!before.has_value() || *before == after) {
         return;
@@ -364,6 +368,7 @@
     made.permit_ms =
         static_cast<std::uint64_t>(this->job_scheduler.settings().permit_lifetime.count());
     made.last_recorded_end = this->state.last_recorded_end(worker);
+    made.last_superseded_end = this->state.last_superseded_end(worker);
     std::vector<run_id> unconfirmed;
     for (const run_id& run : this->state.runs_on(worker)) {
         if (this->job_scheduler.is_releasing(run)) {
@@ -382,8 +387,9 @@
                 {run, job->definition.payload, this->state.find(run.task)->checkpoint});
         }
     }
-    made.orders_digest = digest::content_hash(pack(
-        std::make_tuple(made.last_recorded_end, made.desired_runs, unconfirmed, made.withdrawn)));
+    made.orders_digest =
+        digest::content_hash(pack(std::make_tuple(made.last_recorded_end, made.last_superseded_end,
+                                                  made.desired_runs, unconfirmed, made.withdrawn)));
     return made;
 }
 
--- a/src/libsupervisor/supervisor.cpp
+++ b/src/libsupervisor/supervisor.cpp
@@ -108,7 +108,7 @@
 /// nothing without a permit.
 std::optional<worker_time_ms> supervisor::lease_limit() const
 {
-    if (!this->worker_clock.has_value() || !this->has_permit()) {
+    if (!this->worker_clock.has_value() || !this->has_permit() || this->must_lapse()) {
         return std::nullopt;
     }
     const double covered_ms =
@@ -117,6 +117,33 @@
     return *this->worker_clock + static_cast<worker_time_ms>(covered_ms * min_worker_clock_rate);
 }
 
+bool supervisor::must_lapse() const
+{
+    return this->first_listed_end != 0 && this->first_listed_end <= this->last_superseded_end &&
+           this->last_superseded_end > this->last_lapsed_end;
+}
+
+/// Records that the lease has expired: the worker's clock is past every deadline that it received.
+void supervisor::check_lapse(const worker_listing& listing)
+{
+    this->first_listed_end = listing.ended_runs.empty() ? 0 : listing.ended_runs.front().number;
+    if (this->must_lapse() && listing.clock > this->granted_until) {
+        this->last_lapsed_end = this->last_superseded_end;
+        spdlog::info("event=lease_lapsed worker={} born={} last_superseded_end={}",
+                     this->worker->incarnation.id, this->worker->incarnation.started_unix_ms,
+                     this->last_superseded_end);
+        this->schedule_poll();
+    }
+}
+
+/// True when the worker may get new runs. When the permit has expired, the leader may have given
+/// its runs away, and what it lists must be known first.
+bool supervisor::is_available() const
+{
+    const bool listed = this->has_permit() || this->listing_requested_at >= this->permit_until;
+    return this->worker->reachable && !this->deregistered && !this->must_lapse() && listed;
+}
+
 void supervisor::renew()
 {
     if (!this->worker.has_value() || this->fencing_token == 0) {
@@ -141,11 +168,14 @@
     // renewal then changes nothing and is answered at once.
     const bool confirmed = this->worker_clock.has_value() && this->worker->reachable &&
                            this->listed_token == this->fencing_token;
-    order.wait = confirmed ? this->options.renewal_wait : milliseconds(0);
-    order.last_recorded_end = confirmed ? this->last_recorded_end : 0;
+    const bool listing_outdated =
+        !this->has_permit() && this->listing_requested_at < this->permit_until;
+    order.wait = confirmed && !listing_outdated ? this->options.renewal_wait : milliseconds(0);
+    order.last_recorded_end = confirmed && !this->must_lapse() ? this->last_recorded_end : 0;
     const std::optional<worker_time_ms> limit = this->lease_limit();
     if (confirmed && limit.has_value()) {
         order.lease_until = std::min(*limit, *this->worker_clock + this->options.max_lease.count());
+        this->granted_until = std::max(this->granted_until, order.lease_until);
     }
     const std::uint64_t number = ++this->renewal_number;
     this->renewal_sent_at = this->clock();
@@ -168,7 +198,13 @@
             this->schedule_poll();
         }
         this->on_listing(*listing);
-        this->renew();
+        if (this->must_lapse()) {
+            // The worker doesn't wait with its answer while it lists an end.
+            this->renew_after(this->options.pause_after_failure);
+        }
+        else {
+            this->renew();
+        }
         return;
     }
     spdlog::warn("event=worker_renewal_failed worker={} error=\"{}\"", this->worker->incarnation.id,
@@ -177,6 +213,11 @@
     this->on_renewal_failed(listing.status());
     const milliseconds pause = this->deregistered ? this->options.pause_after_deregistration
                                                   : this->options.pause_after_failure;
+    this->renew_after(pause);
+}
+
+void supervisor::renew_after(milliseconds pause)
+{
     this->hooks.run_at(this->clock() + pause, [this, number = this->renewal_number] {
         if (number == this->renewal_number) {
             this->renew();
@@ -230,6 +271,7 @@
         }
         this->log_permit(false);
         this->stop_unwanted();
+        this->renew();
     });
 }
 
@@ -269,9 +311,12 @@
     this->log_unordered_runs(listing);
     if (!this->worker_clock.has_value()) {
         this->predecessor_deadline = listing.clock + this->options.start_window.count();
+        this->granted_until = listing.clock + this->options.max_lease.count();
     }
     this->worker_clock = listing.clock;
     this->worker_clock_read_at = this->clock();
+    this->listing_requested_at = this->renewal_sent_at;
+    this->check_lapse(listing);
     this->running = listing.running;
     std::erase_if(this->ended_runs,
                   [this](const auto& each) { return each.first <= this->last_recorded_end; });
@@ -317,7 +362,7 @@
         return;
     }
     std::set<run_id> unwanted = this->withdrawn;
-    if (!this->has_permit()) {
+    if (!this->has_permit() || this->must_lapse()) {
         const std::vector<run_id> all = this->possibly_running();
         unwanted.insert(all.begin(), all.end());
     }
@@ -393,7 +438,10 @@
     if (!limit.has_value() || this->worker->draining || this->deregistered) {
         // An earlier attempt may still be carried out, until its deadline.
         if (start.unanswered_attempts == 0) {
-            this->mark_refused(run, start, limit.has_value() ? "draining" : "no_permit");
+            this->mark_refused(run, start,
+                               limit.has_value()    ? "draining"
+                               : this->must_lapse() ? "lease_lapses"
+                                                    : "no_permit");
         }
         else if (start.deadline == 0) {
             start.deadline = std::max(now, this->predecessor_deadline);
@@ -404,6 +452,7 @@
     if (start.deadline == 0) {
         start.deadline = std::min(*limit, now + this->options.start_window.count());
     }
+    this->granted_until = std::max(this->granted_until, start.deadline);
     start.in_flight = true;
     start.sent_at = this->clock();
     const worker_incarnation incarnation = start.worker;
--- a/src/libsupervisor/supervisor_incarnations.cpp
+++ b/src/libsupervisor/supervisor_incarnations.cpp
@@ -244,6 +244,10 @@
     this->running.clear();
     this->ended_runs.clear();
     this->last_recorded_end = 0;
+    this->granted_until = 0;
+    this->first_listed_end = 0;
+    this->last_superseded_end = 0;
+    this->last_lapsed_end = 0;
     this->has_orders = false;
     this->desired_runs.clear();
     this->starts.clear();
--- a/src/libsupervisor/supervisor_polls.cpp
+++ b/src/libsupervisor/supervisor_polls.cpp
@@ -57,7 +57,7 @@
             poll.unconfirmed.push_back(this->worker->incarnation);
         }
         poll.worker = *this->worker;
-        poll.worker.reachable = this->worker->reachable && !this->deregistered;
+        poll.worker.reachable = this->is_available();
         poll.worker.remaining_ms = remaining_until(this->drain_deadline, now).count();
         poll.running = this->running;
     }
@@ -143,6 +143,15 @@
     this->has_orders = true;
     this->orders_digest = answer.orders_digest;
     this->last_recorded_end = std::max(this->last_recorded_end, answer.last_recorded_end);
+    const bool had_to_lapse = this->must_lapse();
+    this->last_superseded_end = std::max(this->last_superseded_end, answer.last_superseded_end);
+    if (this->must_lapse() && !had_to_lapse) {
+        spdlog::info("event=lease_must_lapse worker={} born={} first_listed_end={} "
+                     "last_superseded_end={}",
+                     this->worker->incarnation.id, this->worker->incarnation.started_unix_ms,
+                     this->first_listed_end, this->last_superseded_end);
+        this->schedule_poll();
+    }
     this->desired_runs = std::set<run_id>(answer.desired_runs.begin(), answer.desired_runs.end());
     this->withdrawn = std::set<run_id>(answer.withdrawn.begin(), answer.withdrawn.end());
     std::erase_if(this->starts, [this](const auto& each) {
--- a/src/libsupervisor/testing/leader_model.cpp
+++ b/src/libsupervisor/testing/leader_model.cpp
@@ -90,7 +90,10 @@
 {
     const worker_incarnation& worker = poll.worker.incarnation;
     const std::optional<resources> before = this->job_scheduler.announced_capacity(worker);
-    this->job_scheduler.record_report(poll.worker, poll.running);
+    worker_description described = poll.worker;
+    described.reachable =
+        described.reachable && !this->state.has_superseded_end(worker, poll.ended_runs);
+    this->job_scheduler.record_report(described, poll.running);
     if (before.has_value() && *before != poll.worker.capacity) {
         log_evictions(this->job_scheduler.withdraw_excess_starts(worker));
     }
@@ -158,6 +161,7 @@
     made.permit_ms =
         static_cast<std::uint64_t>(this->job_scheduler.settings().permit_lifetime.count());
     made.last_recorded_end = this->state.last_recorded_end(worker);
+    made.last_superseded_end = this->state.last_superseded_end(worker);
     std::vector<run_id> unconfirmed;
     for (const run_id& run : this->state.runs_on(worker)) {
         if (this->job_scheduler.is_releasing(run)) {
@@ -175,8 +179,9 @@
                 {run, job->definition.payload, this->state.find(run.task)->checkpoint});
         }
     }
-    made.orders_digest = digest::content_hash(pack(
-        std::make_tuple(made.last_recorded_end, made.desired_runs, unconfirmed, made.withdrawn)));
+    made.orders_digest =
+        digest::content_hash(pack(std::make_tuple(made.last_recorded_end, made.last_superseded_end,
+                                                  made.desired_runs, unconfirmed, made.withdrawn)));
     return made;
 }
 
--- a/src/libsupervisor/testing/overlap_faults.cpp
+++ b/src/libsupervisor/testing/overlap_faults.cpp
@@ -308,6 +308,9 @@
         each->late_announcements = false;
         each->held_up_share = 0.0;
         each->link = worker_link::open;
+        if (each->worker.is_up()) {
+            each->worker.change_capacity(worker_capacity);
+        }
     }
     this->commit_delay = milliseconds(2);
 }
--- a/src/libsupervisor/testing/overlap_simulation.cpp
+++ b/src/libsupervisor/testing/overlap_simulation.cpp
@@ -17,7 +17,6 @@
 /// A supervisor that waits for news sends one poll and one renewal each second.
 constexpr std::uint64_t max_quiet_messages = 60;
 constexpr std::int64_t first_unix_ms = 1'700'000'000'000;
-constexpr resources worker_capacity{4000, 4000, 4};
 constexpr std::int64_t slowest_clock_permille = 980;
 constexpr std::int64_t exact_clock_permille = 1000;
 
--- a/src/libsupervisor/testing/overlap_simulation.h
+++ b/src/libsupervisor/testing/overlap_simulation.h
@@ -43,6 +43,9 @@
 /// A part of the kinds, drawn by the seed.
 [[nodiscard]] std::set<fault_kind> draw_faults(std::uint64_t seed);
 
+/// Capacity of each worker before and after the faults.
+constexpr resources worker_capacity{4000, 4000, 4};
+
 struct simulation_options {
     std::uint64_t seed = 1;
     std::set<fault_kind> faults;
