Restart a long-running task however its run ends

Cause: job_state::record_end marked the task as done without a look at step_definition::long_running. Only the count of failed attempts made the difference.

Ruled out: the scheduler, which never sees a task that is done, and the supervisor, which reports the end as listed.

Why the fix works: a run of a long-running task that ends as done leaves the task open, alone and in a gang, so that the step, its occurrence and the job stay open and the scheduler assigns the next run. The command in the log says that it is to be applied so; entries of earlier versions do not, and are applied as they were, since replicas that read the log again must come to the same state.

Related: nothing paced a task that ends again and again at once. From the second run on that ends by itself within 3 s the restart is delayed by 0.5 s to 4 s, for done and failed ends alike. The history of durations no longer learns from such runs.

--- a/src/include/redwingwheel/job_state.h
+++ b/src/include/redwingwheel/job_state.h
@@ -65,7 +65,10 @@
     worker_incarnation worker;
     std::vector<ended_run> ended_runs;
     std::int64_t now_unix_ms = 0;
-    MSGPACK_DEFINE(worker, ended_runs, now_unix_ms)
+    /// Long-running tasks stay open when a run ends as done. False in log entries of earlier
+    /// versions, which every replica applies as they were applied then.
+    bool restart_long_running = false;
+    MSGPACK_DEFINE(worker, ended_runs, now_unix_ms, restart_long_running)
 };
 
 struct released_run {
@@ -275,7 +278,7 @@
 
     [[nodiscard]] bool can_assign(const assignment& each) const;
     [[nodiscard]] bool is_superseded(const ended_run& end) const;
-    void record_end(const ended_run& end, std::int64_t now_unix_ms);
+    void record_end(const ended_run& end, const record_ended_runs& command);
     static void store_checkpoint(const step_definition& definition, step_record& step,
                                  const run_id& run, const std::string& checkpoint, bool from_stop);
     void mark_tasks_done(const step_definition& definition, step_record& step,
--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -86,6 +86,13 @@
     /// run progresses. Covers a start that is repeated until the end of its window, 1.5 s, and the
     /// next listing.
     milliseconds isolation_duration{3000};
+    /// A long-running task whose runs end sooner than this, by themselves, is restarted with a
+    /// delay from the second such run on.
+    milliseconds short_run{3000};
+    /// The delay doubles with each further short run up to the maximum, after which a task that
+    /// keeps ending at once costs no more than a start every few seconds.
+    milliseconds restart_delay{500};
+    milliseconds max_restart_delay{4000};
 };
 
 /// A run that is stopped, for the log.
@@ -224,6 +231,11 @@
         std::string checkpoint;
         bool listed = false;
     };
+    /// Paces the restarts of a long-running task whose runs end at once.
+    struct restart_pace {
+        std::uint32_t short_runs = 0;
+        steady_time not_before;
+    };
     struct reservation {
         steady_time made_at;
         std::vector<worker_incarnation> workers;
@@ -272,6 +284,9 @@
     [[nodiscard]] bool has_progressed_since(const worker_incarnation& worker,
                                             const run_id& stalled) const;
     void update_suspicion(steady_time now, tracked_worker& worker) const;
+    void pace_restart(const ended_run& end);
+    /// True while a restart of the task must wait.
+    [[nodiscard]] bool is_paced(const task_id& task, steady_time now) const;
     [[nodiscard]] std::vector<run_id> runs_stopped_together(const run_id& run) const;
     void stop_incomplete_gangs(scheduling_round& round);
     void move_runs_off_draining_workers(scheduling_round& round);
@@ -359,6 +374,7 @@
     std::set<run_id> releasing;
     /// Ids of the workers on which a task has failed or stalled.
     std::map<task_id, std::set<std::string>> failed_on;
+    std::map<task_id, restart_pace> restart_paces;
     std::map<task_id, reservation> reservations;
     /// When the occurrences of the open jobs were due.
     std::map<occurrence_id, steady_time> due_times;
--- a/src/libjobs/job_state.cpp
+++ b/src/libjobs/job_state.cpp
@@ -197,7 +197,7 @@
         if (this->is_superseded(end)) {
             this->replicated.last_superseded_ends[command.worker] = end.number;
         }
-        this->record_end(end, command.now_unix_ms);
+        this->record_end(end, command);
         const auto job = this->replicated.jobs.find(end.run.task.job);
         if (job != this->replicated.jobs.end()) {
             job->second.released_runs.erase(end.run);
@@ -239,8 +239,8 @@
 }
 
 /// Only ends as done or failed matter: a task must not be started again after the one, and only so
-/// often after the other. The task is certainly not started again while the run is its last one. Of
-/// a forgotten job nothing is known.
+/// often after the other. Long-running tasks have neither limit. The task is certainly not started
+/// again while the run is its last one. Of a forgotten job nothing is known.
 bool job_state::is_superseded(const ended_run& end) const
 {
     if (end.outcome != run_outcome::done && end.outcome != run_outcome::failed) {
@@ -252,10 +252,13 @@
     }
     const task_record* const task = this->find(end.run.task);
     const bool is_last_run = task != nullptr && task->last_run == end.run.number;
-    return job->released_runs.contains(end.run) && !is_last_run;
+    const std::vector<step_definition>& steps = job->definition.steps;
+    const bool is_restarted =
+        end.run.task.step < steps.size() && steps[end.run.task.step].long_running;
+    return job->released_runs.contains(end.run) && !is_last_run && !is_restarted;
 }
 
-void job_state::record_end(const ended_run& end, std::int64_t now_unix_ms)
+void job_state::record_end(const ended_run& end, const record_ended_runs& command)
 {
     const task_id& id = end.run.task;
     const task_record* const known = this->find(id);
@@ -271,13 +274,15 @@
     }
     store_checkpoint(job.definition.steps[id.step], step, end.run, end.checkpoint,
                      end.outcome == run_outcome::stopped);
-    if (end.outcome == run_outcome::done) {
-        this->mark_tasks_done(job.definition.steps[id.step], step, id);
+    const step_definition& definition = job.definition.steps[id.step];
+    const bool is_restarted = definition.long_running && command.restart_long_running;
+    if (end.outcome == run_outcome::done && !is_restarted) {
+        this->mark_tasks_done(definition, step, id);
     }
     if (end.outcome == run_outcome::failed) {
-        this->count_failure(job, end, now_unix_ms);
+        this->count_failure(job, end, command.now_unix_ms);
     }
-    this->close_ended_occurrences(job, id.occurrence, now_unix_ms);
+    this->close_ended_occurrences(job, id.occurrence, command.now_unix_ms);
 }
 
 /// Stores the checkpoint of a run. All members of a gang resume from the same checkpoint, which any
--- a/src/libjobs/job_state_test.cpp
+++ b/src/libjobs/job_state_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "redwingwheel/job_state.h"
+#include "redwingwheel/packing.h"
 
 using namespace redwingwheel::jobs;
 
@@ -51,7 +52,7 @@
 
 record_ended_runs ended_on(const worker_incarnation& worker, std::vector<ended_run> ended_runs)
 {
-    return {worker, std::move(ended_runs), 2000};
+    return {worker, std::move(ended_runs), 2000, true};
 }
 
 job_state state_with_job(const job_definition& definition)
@@ -393,3 +394,72 @@
     state.apply(ended_on(worker_a, {{1, run_of(0, 1), run_outcome::done, ""}}));
     CHECK(state.last_superseded_end(worker_a) == 1);
 }
+
+// Failure: a long-running task whose run ends as done is not restarted, and its job is shown as
+// completed though nobody has cancelled it.
+TEST_CASE("a long-running task stays open however its run ends")
+{
+    for (const bool gang : {false, true}) {
+        for (const run_outcome outcome :
+             {run_outcome::done, run_outcome::failed, run_outcome::stopped, run_outcome::lapsed,
+              run_outcome::broken, run_outcome::alone}) {
+            INFO("gang " << gang << " outcome " << run_outcome_name(outcome));
+            job_definition job = make_job(2, gang);
+            job.steps[0].long_running = true;
+            job.steps.push_back(job.steps[0]);
+            job.steps[1].long_running = false;
+            job.steps[1].depends_on = {0};
+            job_state state = state_with_job(job);
+            for (std::uint32_t number = 1; number <= 5; ++number) {
+                REQUIRE(state.apply(assign(
+                            {{run_of(0, number), worker_a}, {run_of(1, number), worker_b}})) ==
+                        command_result::accepted);
+                state.apply(ended_on(worker_a, {{number, run_of(0, number), outcome, ""}}));
+                state.apply(ended_on(worker_b, {{number, run_of(1, number), outcome, ""}}));
+                CHECK(state.find(job_id)->status == job_status::running);
+                CHECK(state.find(run_of(0, number).task)->phase == task_phase::waiting);
+                CHECK(state.find(run_of(1, number).task)->phase == task_phase::waiting);
+                CHECK(state.runs_on(worker_a).empty());
+            }
+            CHECK_FALSE(is_ready(job, state.find(job_id)->open_occurrences.at(0), 1));
+            state.apply(cancel_job{job_id, 3000});
+            CHECK(state.find(job_id)->status == job_status::cancelled);
+            CHECK(state.find(job_id)->open_occurrences.empty());
+        }
+    }
+}
+
+// Failure: the occurrences of a recurring job with a long-running task end.
+TEST_CASE("a recurring job with a long-running task is not completed")
+{
+    job_definition job = make_job(1, false);
+    job.steps[0].long_running = true;
+    job.occurrences = 2;
+    job.first_due_unix_ms = 900;
+    job.interval_ms = 50;
+    job_state state = state_with_job(job);
+    for (std::uint32_t occurrence = 0; occurrence < 2; ++occurrence) {
+        const run_id run{{job_id, occurrence, 0, 0}, 1};
+        state.apply(assign({{run, worker_a}}));
+        state.apply(ended_on(worker_a, {{occurrence + 1, run, run_outcome::done, ""}}));
+    }
+    CHECK(state.find(job_id)->status == job_status::running);
+    CHECK(state.find(job_id)->open_occurrences.size() == 2);
+}
+
+// Failure: an end that every replica has applied as the end of the task is applied in another way
+// by a replica that reads the log again.
+TEST_CASE("a log entry of an earlier version completes a long-running task as it did")
+{
+    job_definition job = make_job(1, false);
+    job.steps[0].long_running = true;
+    job_state state = state_with_job(job);
+    state.apply(assign({{run_of(0, 1), worker_a}}));
+    const std::vector<ended_run> ends{{1, run_of(0, 1), run_outcome::done, ""}};
+    const std::uint32_t alternative = job_command(record_ended_runs()).index();
+    const absl::StatusOr<job_command> read = unpack_job_command(redwingwheel::pack(
+        std::make_tuple(alternative, redwingwheel::pack(std::make_tuple(worker_a, ends, 2000)))));
+    REQUIRE(read.ok());
+    state.apply(*read);
+    CHECK(state.find(job_id)->status == job_status::completed);
+}
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -42,6 +42,7 @@
     this->evicting.clear();
     this->releasing.clear();
     this->failed_on.clear();
+    this->restart_paces.clear();
     this->reservations.clear();
     this->waiting_since.clear();
     this->due_times.clear();
@@ -129,6 +130,7 @@
 {
     tracked_worker& known = this->workers[worker];
     known.listed.erase(end.run);
+    this->pace_restart(end);
     if (end.outcome == run_outcome::done) {
         known.consecutive_failures = 0;
         known.suspect_until = steady_time();
@@ -147,7 +149,8 @@
 {
     const job_record* const job = this->state.find(run.task.job);
     const auto known = this->runs.find(run);
-    if (job == nullptr || known == this->runs.end() || run.number != 1) {
+    if (job == nullptr || known == this->runs.end() || run.number != 1 ||
+        job->definition.steps[run.task.step].long_running) {
         return;
     }
     const std::chrono::duration<double, std::milli> took = this->clock() - known->second.started_at;
@@ -257,6 +260,8 @@
     std::erase_if(this->releasing, is_over);
     std::erase_if(this->failed_on,
                   [this](const auto& each) { return this->state.find(each.first) == nullptr; });
+    std::erase_if(this->restart_paces,
+                  [this](const auto& each) { return this->state.find(each.first) == nullptr; });
     std::erase_if(this->reservations,
                   [this](const auto& each) { return this->state.find(each.first) == nullptr; });
     std::erase_if(this->progressed_runs,
@@ -346,10 +351,19 @@
                 pending.job = &job;
                 pending.occurrence = number;
                 pending.step = step;
+                bool has_paced_task = false;
                 for (std::uint32_t index = 0; index < record.tasks.size(); ++index) {
-                    if (record.tasks[index].phase == task_phase::waiting) {
-                        pending.waiting_tasks.push_back(index);
+                    if (record.tasks[index].phase != task_phase::waiting) {
+                        continue;
+                    }
+                    if (this->is_paced({id, number, step, index}, round.now)) {
+                        has_paced_task = true;
+                        continue;
                     }
+                    pending.waiting_tasks.push_back(index);
+                }
+                if (pending.waiting_tasks.empty() || (definition.gang && has_paced_task)) {
+                    continue;
                 }
                 pending.due = this->due_times.at({id, number});
                 pending.objective = pending.due + allowed;
--- a/src/libjobs/scheduler_runs.cpp
+++ b/src/libjobs/scheduler_runs.cpp
@@ -119,6 +119,41 @@
     }
 }
 
+/// Delays the restart of a long-running task whose runs end at once. Ends that the system has
+/// caused do not count.
+void scheduler::pace_restart(const ended_run& end)
+{
+    const job_record* const job = this->state.find(end.run.task.job);
+    const auto known = this->runs.find(end.run);
+    const bool by_itself = end.outcome == run_outcome::done || end.outcome == run_outcome::failed;
+    if (job == nullptr || known == this->runs.end() || !by_itself ||
+        !job->definition.steps[end.run.task.step].long_running) {
+        return;
+    }
+    const steady_time now = this->clock();
+    restart_pace& pace = this->restart_paces[end.run.task];
+    if (now >= known->second.started_at + this->options.short_run) {
+        pace = restart_pace();
+        return;
+    }
+    ++pace.short_runs;
+    if (pace.short_runs < 2) {
+        return;
+    }
+    milliseconds delay = this->options.restart_delay;
+    for (std::uint32_t each = 2; each < pace.short_runs && delay < this->options.max_restart_delay;
+         ++each) {
+        delay *= 2;
+    }
+    pace.not_before = now + std::min(delay, this->options.max_restart_delay);
+}
+
+bool scheduler::is_paced(const task_id& task, steady_time now) const
+{
+    const auto found = this->restart_paces.find(task);
+    return found != this->restart_paces.end() && now < found->second.not_before;
+}
+
 /// Returns the run, or all assigned runs of its gang.
 std::vector<run_id> scheduler::runs_stopped_together(const run_id& run) const
 {
--- a/src/libjobs/scheduler_runs_test.cpp
+++ b/src/libjobs/scheduler_runs_test.cpp
@@ -284,3 +284,61 @@
     w.report("a");
     CHECK(w.decide().releases.size() == 1);
 }
+
+// Failure: a long-running task whose run ends as done is not assigned again.
+TEST_CASE("a long-running task is restarted at once when its run ends")
+{
+    scheduler_world w;
+    w.add_worker("a", "r1");
+    step_definition step;
+    step.per_task = {1000, 1000, 1};
+    step.long_running = true;
+    w.submit_step("lasting", "batch", step);
+    for (std::uint32_t number = 1; number <= 4; ++number) {
+        REQUIRE(w.decide().assignments.size() == 1);
+        const run_id run{{"lasting", 0, 0, 0}, number};
+        w.report("a", {{run, "", 0}});
+        w.advance_time(milliseconds(5000));
+        w.report("a", {{run, "", 0}});
+        w.end_run(run, number % 2 == 0 ? run_outcome::failed : run_outcome::done);
+        w.report("a");
+    }
+    CHECK(w.state.find("lasting")->status == job_status::running);
+}
+
+// Failure: a long-running task that ends at once is restarted without a pause and takes the time of
+// the leader and the worker.
+TEST_CASE("a long-running task that keeps ending at once is restarted with a growing delay")
+{
+    for (const run_outcome outcome : {run_outcome::done, run_outcome::failed}) {
+        scheduler_world w;
+        w.add_worker("a", "r1");
+        w.add_worker("b", "r1");
+        step_definition step;
+        step.per_task = {1000, 1000, 1};
+        step.long_running = true;
+        w.submit_step("lasting", "batch", step);
+        constexpr milliseconds interval{50};
+        constexpr milliseconds observed{60'000};
+        std::size_t starts = 0;
+        milliseconds since_start{0};
+        milliseconds longest_wait{0};
+        for (milliseconds elapsed{0}; elapsed < observed; elapsed += interval) {
+            const schedule made = w.decide();
+            since_start += interval;
+            longest_wait = std::max(longest_wait, since_start);
+            for (const assign_runs& each : made.assignments) {
+                ++starts;
+                since_start = milliseconds(0);
+                w.end_run(each.runs.front().run, outcome);
+            }
+            w.advance_time(interval);
+            w.report("a");
+            w.report("b");
+        }
+        INFO("outcome " << run_outcome_name(outcome));
+        CHECK(starts <= 25);
+        CHECK(starts >= 10);
+        CHECK(longest_wait <= milliseconds(4500));
+    }
+}
--- a/src/libjobs/scheduler_world.h
+++ b/src/libjobs/scheduler_world.h
@@ -100,7 +100,7 @@
         const worker_incarnation worker = this->state.find(run.task)->worker;
         const ended_run listed{this->state.last_recorded_end(worker) + 1, run, outcome, ""};
         this->decisions.record_run_end(worker, listed);
-        this->state.apply(record_ended_runs{worker, {listed}, this->unix_ms});
+        this->state.apply(record_ended_runs{worker, {listed}, this->unix_ms, true});
     }
 
     /// Adds a worker and a run of another account that has used all of its accelerators for 500 ms.
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -298,6 +298,7 @@
     record_ended_runs command;
     command.worker = worker;
     command.now_unix_ms = unix_ms();
+    command.restart_long_running = true;
     for (const ended_run& end : ended_runs) {
         if (end.number <= last_recorded) {
             continue;
--- a/src/libsupervisor/testing/leader_model.cpp
+++ b/src/libsupervisor/testing/leader_model.cpp
@@ -110,6 +110,7 @@
     record_ended_runs command;
     command.worker = worker;
     command.now_unix_ms = this->hooks.unix_ms();
+    command.restart_long_running = true;
     for (const ended_run& end : ended_runs) {
         if (end.number > last_known) {
             command.ended_runs.push_back(end);
