Let what a caller has withdrawn have no effect later

What callers saw: a client got no answer from a gateway, cancelled its job at another one and was told 410.

Cause: a cancellation of an unknown id left no trace in the replicated state, so that a later submission was new; and a gateway counts its timeouts from when it reads a request, however long that waited in a frozen process.

Ruled out: freshness alone, as it only shortens the window; a mark without a limit, as a caller could fill the memory of the replicas.

The same class on related paths: orders of operators (a gateway waits no longer than they do); calls to the leader end when the caller gives up; the RPC client does not begin a call whose deadline has passed; the entry counts the deadline of a request from the earliest time at which it may have been sent.

--- a/src/include/redwingwheel/entry_service.h
+++ b/src/include/redwingwheel/entry_service.h
@@ -18,6 +18,7 @@
 #include "redwingwheel/router.h"
 #include "redwingwheel/rpc.h"
 #include "redwingwheel/settings.h"
+#include "redwingwheel/standstill_detector.h"
 
 namespace redwingwheel::entry {
 
@@ -47,9 +48,13 @@
     /// Runs on a thread of the HTTP server. Answers /metrics there and posts everything else to the
     /// control thread.
     void on_http(http::server_request request, http::responder respond);
-    void serve(http::server_request request, const http::responder& respond);
-    /// Authenticates and checks a request to a service, then starts a `request_flow` for it.
-    void serve_request(http::server_request request, const http::responder& respond);
+    /// `sent_at` is the earliest time at which the caller may have sent the request.
+    void serve(http::server_request request, steady_time sent_at, const http::responder& respond);
+    /// Authenticates and checks a request to a service, then starts a `request_flow` for it. The
+    /// deadline counts from `sent_at`, since the caller may have given up while the process stood
+    /// still.
+    void serve_request(http::server_request request, steady_time sent_at,
+                       const http::responder& respond);
     /// Sends an operator's or client account's call to the control leader and returns its answer.
     void forward(http::server_request request, const http::responder& respond);
     /// Whether this entry may serve requests: the lease has not expired and the configuration has
@@ -82,6 +87,7 @@
     membership::permit_holder permits;
     config::configuration configuration;
     control::leader_client control;
+    kernel::standstill_detector standstills;
     request::router router;
     request::retry_policy retries;
     std::map<std::string, agent_link, std::less<>> agents;
--- a/src/include/redwingwheel/job_gateway.h
+++ b/src/include/redwingwheel/job_gateway.h
@@ -7,6 +7,7 @@
 #include "redwingwheel/group_service.h"
 #include "redwingwheel/job_messages.h"
 #include "redwingwheel/metrics.h"
+#include "redwingwheel/standstill_detector.h"
 
 /// Forwards the calls of clients and operators to the leader.
 namespace redwingwheel::jobs {
@@ -45,14 +46,19 @@
     using call_done = std::function<void(absl::StatusOr<messages::job_answer>)>;
 
     job_gateway(const gateway_options& options, cluster::group_service& group,
-                kernel::control_loop& control_loop, metrics::registry& counters);
+                kernel::control_loop& control_loop, metrics::registry& counters,
+                const clock_function& clock = boot_clock_function());
 
     /// Starts the periodic health checks of the leader.
     void start();
 
     /// Sends the call to the leader. `done` runs on the control thread, at the latest
     /// `retry_timeout` after the call. Errors: gateway_errc.
-    void call(messages::job_call call, call_done done);
+    ///
+    /// The caller gives up `caller_timeout` after it has sent its request, and may then withdraw it
+    /// at another gateway. The call is not sent from then on, and a change that may be older than
+    /// that when it is read is not carried out.
+    void call(messages::job_call call, milliseconds caller_timeout, call_done done);
 
     /// True when a leader has answered within `readiness_timeout`. May be called from any thread.
     [[nodiscard]] bool leader_reachable() const;
@@ -64,6 +70,7 @@
     cluster::group_service& group;
     kernel::control_loop& loop;
     metrics::registry& metrics;
+    kernel::standstill_detector standstills;
     std::atomic<steady_time> last_answer{steady_time()};
     bool was_leader_reachable = false;
 };
--- a/src/include/redwingwheel/job_state.h
+++ b/src/include/redwingwheel/job_state.h
@@ -40,10 +40,13 @@
     MSGPACK_DEFINE(id, host, path, key, definition, now_unix_ms)
 };
 
+/// Cancels a job. The id of a job that is not known is withdrawn: a submission of the account that
+/// arrives later is refused, since it may be a late copy of one that the caller has given up.
 struct cancel_job {
     std::string id;
     std::int64_t now_unix_ms = 0;
-    MSGPACK_DEFINE(id, now_unix_ms)
+    std::string account = {}; ///< The caller's; empty on a public queue.
+    MSGPACK_DEFINE(id, now_unix_ms, account)
 };
 
 struct assignment {
@@ -85,8 +88,8 @@
     MSGPACK_DEFINE(runs, now_unix_ms)
 };
 
-/// Begins the occurrences that are due, and deletes the jobs that ended before
-/// `forget_ended_before_unix_ms`.
+/// Begins the occurrences that are due, and deletes the jobs that ended and the ids that were
+/// withdrawn before `forget_ended_before_unix_ms`.
 struct advance_time {
     std::int64_t now_unix_ms = 0;
     std::int64_t forget_ended_before_unix_ms = 0;
@@ -199,8 +202,10 @@
     unknown_job,
     conflicting_version, ///< The installed configuration has this version but other content.
     no_configuration,
-    stale,       ///< Does not apply to the current state; nothing was changed.
-    invalid_job, ///< The definition is not well-formed; nothing was changed.
+    stale,              ///< Does not apply to the current state; nothing was changed.
+    invalid_job,        ///< The definition is not well-formed; nothing was changed.
+    withdrawn_job,      ///< The job was cancelled before it was submitted; nothing was changed.
+    too_many_withdrawn, ///< The account has withdrawn too many ids lately; nothing was changed.
 };
 
 /// State machine of the jobs. Deterministic: the same commands in the same order result in the same
@@ -263,7 +268,10 @@
         std::map<std::string, job_record> jobs;
         std::map<worker_incarnation, std::uint64_t> last_recorded_ends;
         std::map<worker_incarnation, std::uint64_t> last_superseded_ends;
-        MSGPACK_DEFINE(configuration, evacuated, jobs, last_recorded_ends, last_superseded_ends)
+        /// Unix times in milliseconds at which ids were withdrawn, by account and id.
+        std::map<std::string, std::map<std::string, std::int64_t>> withdrawn_ids;
+        MSGPACK_DEFINE(configuration, evacuated, jobs, last_recorded_ends, last_superseded_ends,
+                       withdrawn_ids)
     };
 
     command_result apply_command(const install_configuration& command);
@@ -276,6 +284,8 @@
     command_result apply_command(const advance_time& command);
     command_result apply_command(const record_worker_crash& command);
 
+    command_result withdraw(const cancel_job& command);
+    [[nodiscard]] bool is_withdrawn(const std::string& account, const std::string& id) const;
     [[nodiscard]] bool can_assign(const assignment& each) const;
     [[nodiscard]] bool is_superseded(const ended_run& end) const;
     void record_end(const ended_run& end, const record_ended_runs& command);
@@ -299,6 +309,9 @@
     std::map<worker_incarnation, std::set<run_id>> runs_by_worker;
 };
 
+/// Largest number of withdrawn ids of one account that are kept.
+constexpr std::size_t max_withdrawn_ids = 1'000;
+
 /// Largest number of tasks of one occurrence of a job, and of all its occurrences. Each replica
 /// keeps a record of every task of an occurrence that has begun, and all occurrences may be due at
 /// once.
--- a/src/include/redwingwheel/scheduler_service.h
+++ b/src/include/redwingwheel/scheduler_service.h
@@ -70,6 +70,8 @@
     void commit_change(const messages::job_call& call, const job_command& change,
                        const answer_function& answer);
     [[nodiscard]] command_result check_caller(const messages::job_call& call) const;
+    /// Name of the caller's account; empty without one.
+    [[nodiscard]] std::string account_name(const messages::job_call& call) const;
 
     void tick();
     void decide();
--- a/src/libentry/entry_service.cpp
+++ b/src/libentry/entry_service.cpp
@@ -100,6 +100,10 @@
       metrics(registry),
       permits(boot_clock_function(), permit_options_from(chosen), chosen.data_centre),
       control(control_loop, traffic_loop, chosen.control.replicas, cluster_secret),
+      standstills(boot_clock_function(),
+                  [&control_loop](milliseconds period, std::function<void()> work) {
+                      control_loop.run_every(period, std::move(work));
+                  }),
       router(router_options_from(chosen), boot_clock_function(), draw_random),
       retries({}, boot_clock_function())
 {
@@ -153,14 +157,17 @@
         respond({200, "text/plain; version=0.0.4", this->metrics.render(), {}});
         return;
     }
-    this->loop.post([this, request = std::move(request), respond = std::move(respond)]() mutable {
-        if (!this->stopping) {
-            this->serve(std::move(request), respond);
-        }
-    });
+    const steady_time sent_at = boot_clock::now() - this->standstills.max_waiting_time();
+    this->loop.post(
+        [this, sent_at, request = std::move(request), respond = std::move(respond)]() mutable {
+            if (!this->stopping) {
+                this->serve(std::move(request), sent_at, respond);
+            }
+        });
 }
 
-void entry_service::serve(http::server_request request, const http::responder& respond)
+void entry_service::serve(http::server_request request, steady_time sent_at,
+                          const http::responder& respond)
 {
     if (request.path == "/health") {
         const bool healthy = !this->unhealthy && this->has_valid_permit();
@@ -172,7 +179,7 @@
         return;
     }
     if (request.path.starts_with(request_path)) {
-        this->serve_request(std::move(request), respond);
+        this->serve_request(std::move(request), sent_at, respond);
         return;
     }
     this->forward(std::move(request), respond);
@@ -206,7 +213,8 @@
     return found;
 }
 
-void entry_service::serve_request(http::server_request request, const http::responder& respond)
+void entry_service::serve_request(http::server_request request, steady_time sent_at,
+                                  const http::responder& respond)
 {
     // With an idempotency key an earlier send may have run; its claim is not looked up here.
     const std::string_view unattempted_outcome =
@@ -255,7 +263,15 @@
             return;
         }
     }
-    incoming.deadline = boot_clock::now() + milliseconds(deadline_ms);
+    incoming.deadline = sent_at + milliseconds(deadline_ms);
+    if (boot_clock::now() >= incoming.deadline) {
+        this->metrics.add("stale_requests_total");
+        spdlog::warn("event=request_stale service={} account={} deadline_ms={}", service_name,
+                     account, deadline_ms);
+        respond(error_response(504, unattempted_outcome,
+                               "the deadline may have passed before the request was read"));
+        return;
+    }
     incoming.content_type = request.header("content-type");
     incoming.body = std::move(request.body);
     const std::shared_ptr<request_flow> flow =
--- a/src/libgateway/job_gateway.cpp
+++ b/src/libgateway/job_gateway.cpp
@@ -7,6 +7,17 @@
 
 namespace redwingwheel::jobs {
 
+namespace {
+
+bool changes_state(messages::job_operation operation)
+{
+    return operation != messages::job_operation::status &&
+           operation != messages::job_operation::count_pending &&
+           operation != messages::job_operation::read_configuration;
+}
+
+} // namespace
+
 std::string_view error_name(gateway_errc code)
 {
     return code == gateway_errc::not_carried_out ? "not carried out" : "unknown";
@@ -19,8 +30,12 @@
 }
 
 job_gateway::job_gateway(const gateway_options& chosen, cluster::group_service& group_to_call,
-                         kernel::control_loop& control_loop, metrics::registry& counters)
-    : options(chosen), group(group_to_call), loop(control_loop), metrics(counters)
+                         kernel::control_loop& control_loop, metrics::registry& counters,
+                         const clock_function& clock)
+    : options(chosen), group(group_to_call), loop(control_loop), metrics(counters),
+      standstills(clock, [&control_loop](milliseconds period, std::function<void()> work) {
+          control_loop.run_every(period, std::move(work));
+      })
 {
 }
 
@@ -53,13 +68,27 @@
                                    });
 }
 
-void job_gateway::call(messages::job_call call, call_done done)
+void job_gateway::call(messages::job_call call, milliseconds caller_timeout, call_done done)
 {
     const steady_time begun = boot_clock::now();
-    this->loop.post([this, begun, call = std::move(call), done = std::move(done)] {
+    const milliseconds waited = this->standstills.max_waiting_time();
+    if (waited >= caller_timeout && changes_state(call.operation)) {
+        this->metrics.add("stale_calls_total");
+        spdlog::warn("event=call_stale operation={} job={} waited_ms={} caller_timeout_ms={}",
+                     static_cast<int>(call.operation), call.job, waited.count(),
+                     caller_timeout.count());
+        this->loop.post([done = std::move(done)] {
+            done(make_error(gateway_errc::not_carried_out,
+                            "the caller may have given up before the call was read"));
+        });
+        return;
+    }
+    const steady_time caller_deadline = begun + caller_timeout - std::min(waited, caller_timeout);
+    this->loop.post([this, begun, caller_deadline, call = std::move(call), done = std::move(done)] {
         this->group.leader().call_until_known(
-            messages::kind::job_call, pack(call), begun + this->options.call_timeout,
-            begun + this->options.retry_timeout,
+            messages::kind::job_call, pack(call),
+            std::min(begun + this->options.call_timeout, caller_deadline),
+            std::min(begun + this->options.retry_timeout, caller_deadline),
             [this, begun, done](const absl::StatusOr<std::string>& body) {
                 this->metrics.observe(
                     "leader_call_ms", "",
--- a/src/libjobs/job_state.cpp
+++ b/src/libjobs/job_state.cpp
@@ -121,6 +121,9 @@
     if (account == nullptr && !queue->public_access) {
         return command_result::unknown_key;
     }
+    if (this->is_withdrawn(account == nullptr ? "" : account->name, command.id)) {
+        return command_result::withdrawn_job;
+    }
     job_record job;
     job.queue = queue->name;
     job.service = queue->service;
@@ -140,7 +143,7 @@
 {
     const auto found = this->replicated.jobs.find(command.id);
     if (found == this->replicated.jobs.end()) {
-        return command_result::unknown_job;
+        return this->withdraw(command);
     }
     job_record& job = found->second;
     if (!job.ended()) {
@@ -152,6 +155,22 @@
     return command_result::accepted;
 }
 
+command_result job_state::withdraw(const cancel_job& command)
+{
+    std::map<std::string, std::int64_t>& ids = this->replicated.withdrawn_ids[command.account];
+    if (!ids.contains(command.id) && ids.size() >= max_withdrawn_ids) {
+        return command_result::too_many_withdrawn;
+    }
+    ids[command.id] = command.now_unix_ms;
+    return command_result::unknown_job;
+}
+
+bool job_state::is_withdrawn(const std::string& account, const std::string& id) const
+{
+    const auto found = this->replicated.withdrawn_ids.find(account);
+    return found != this->replicated.withdrawn_ids.end() && found->second.contains(id);
+}
+
 bool job_state::can_assign(const assignment& each) const
 {
     const job_record* const job = this->find(each.run.task.job);
@@ -235,6 +254,13 @@
         return entry.second.ended() && entry.second.open_occurrences.empty() &&
                entry.second.ended_unix_ms < command.forget_ended_before_unix_ms;
     });
+    for (auto& [account, ids] : this->replicated.withdrawn_ids) {
+        std::erase_if(ids, [&command](const auto& entry) {
+            return entry.second < command.forget_ended_before_unix_ms;
+        });
+    }
+    std::erase_if(this->replicated.withdrawn_ids,
+                  [](const auto& entry) { return entry.second.empty(); });
     return command_result::accepted;
 }
 
--- a/src/libjobs/job_state_test.cpp
+++ b/src/libjobs/job_state_test.cpp
@@ -463,3 +463,41 @@
     state.apply(*read);
     CHECK(state.find(job_id)->status == job_status::completed);
 }
+
+// Failure: a submission that a frozen gateway hands in late starts a job that its caller has
+// cancelled elsewhere since.
+TEST_CASE("a job that was cancelled before it was submitted is not accepted")
+{
+    job_state state;
+    state.apply(install_configuration{make_configuration(1)});
+    CHECK(state.apply(cancel_job{job_id, 1000, "account"}) == command_result::unknown_job);
+    CHECK(state.apply(submission(make_job(1, false))) == command_result::withdrawn_job);
+    CHECK(state.find(job_id) == nullptr);
+
+    job_state restored;
+    REQUIRE(restored.restore_snapshot(state.pack_snapshot()).ok());
+    CHECK(restored.apply(submission(make_job(1, false))) == command_result::withdrawn_job);
+    // The id is remembered as long as an ended job is.
+    restored.apply(advance_time{5000, 1000});
+    CHECK(restored.apply(submission(make_job(1, false))) == command_result::withdrawn_job);
+    restored.apply(advance_time{5000, 1001});
+    CHECK(restored.apply(submission(make_job(1, false))) == command_result::accepted);
+}
+
+// Failure: an account withdraws the ids of another one, or uses up the memory of the replicas.
+TEST_CASE("withdrawn ids are limited and kept for each account")
+{
+    job_state state;
+    state.apply(install_configuration{make_configuration(1)});
+    CHECK(state.apply(cancel_job{job_id, 1000, "other"}) == command_result::unknown_job);
+    CHECK(state.apply(submission(make_job(1, false))) == command_result::accepted);
+    for (std::size_t each = 1; each < max_withdrawn_ids; ++each) {
+        CHECK(state.apply(cancel_job{"id" + std::to_string(each), 1000, "other"}) ==
+              command_result::unknown_job);
+    }
+    CHECK(state.apply(cancel_job{"one more", 1000, "other"}) == command_result::too_many_withdrawn);
+    // Repeated cancellations and those of known jobs are acknowledged.
+    CHECK(state.apply(cancel_job{"id1", 1100, "other"}) == command_result::unknown_job);
+    CHECK(state.apply(cancel_job{job_id, 1100, "account"}) == command_result::accepted);
+    CHECK(state.apply(cancel_job{"one more", 1100, "account"}) == command_result::unknown_job);
+}
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -60,6 +60,10 @@
         return "stale";
     case command_result::invalid_job:
         return "invalid_job";
+    case command_result::withdrawn_job:
+        return "withdrawn_job";
+    case command_result::too_many_withdrawn:
+        return "too_many_withdrawn";
     }
     return "unknown";
 }
@@ -485,6 +489,12 @@
     return command_result::accepted;
 }
 
+std::string scheduler_service::account_name(const messages::job_call& call) const
+{
+    const account_definition* const account = this->state.find_account(call.key);
+    return account == nullptr ? "" : account->name;
+}
+
 void scheduler_service::serve_call(const wire::incoming_request& request,
                                    const answer_function& answer)
 {
@@ -503,7 +513,8 @@
             answer(pack(messages::job_answer{result, {}, 0, ""}));
             return;
         }
-        this->commit_change(*call, cancel_job{call->job, unix_ms()}, answer);
+        this->commit_change(*call, cancel_job{call->job, unix_ms(), this->account_name(*call)},
+                            answer);
         return;
     case messages::job_operation::install_configuration:
         this->commit_change(*call, install_configuration{std::move(call->configuration)}, answer);
@@ -533,16 +544,14 @@
     }
     const step_definition& first = call.definition.steps.front();
     const queue_definition& queue = *this->state.find_queue(call.host, call.path);
-    spdlog::info(
-        "event=job_submitted job={} queue={} priority={} account={} steps={} tasks={} "
-        "cpu_millis={} accelerators={} gang={} same_rack={} resumable={} estimate_ms={} "
-        "occurrences={} configuration={}",
-        call.job, queue.name, queue.priority,
-        this->state.find_account(call.key) == nullptr ? ""
-                                                      : this->state.find_account(call.key)->name,
-        call.definition.steps.size(), first.tasks, first.per_task.cpu_millis,
-        first.per_task.accelerators, first.gang, first.same_rack, first.resumable,
-        first.estimate_ms, call.definition.occurrences, this->state.configuration().version);
+    spdlog::info("event=job_submitted job={} queue={} priority={} account={} steps={} tasks={} "
+                 "cpu_millis={} accelerators={} gang={} same_rack={} resumable={} estimate_ms={} "
+                 "occurrences={} configuration={}",
+                 call.job, queue.name, queue.priority, this->account_name(call),
+                 call.definition.steps.size(), first.tasks, first.per_task.cpu_millis,
+                 first.per_task.accelerators, first.gang, first.same_rack, first.resumable,
+                 first.estimate_ms, call.definition.occurrences,
+                 this->state.configuration().version);
     this->commit_change(
         call, submit_job{call.job, call.host, call.path, call.key, call.definition, unix_ms()},
         answer);
--- a/src/libwire/rpc_client.cpp
+++ b/src/libwire/rpc_client.cpp
@@ -69,6 +69,11 @@
 
 void rpc_client::implementation::start_call(pending_call new_call)
 {
+    // After a standstill of the process the deadline may have passed before the call begins.
+    if (boot_clock::now() >= new_call.deadline) {
+        new_call.done(make_error(wire_errc::not_sent, "the deadline of the call has passed"));
+        return;
+    }
     if (this->shutting_down || this->state == link_state::backoff) {
         new_call.done(make_error(wire_errc::not_sent,
                                  fmt::format("no connection to {}", to_string(this->remote))));
@@ -190,7 +195,8 @@
     this->state = link_state::ready;
     this->failed_attempts = 0;
     for (auto& [correlation, call] : this->calls) {
-        if (!call.queued) {
+        // An expired call ends with its timer.
+        if (!call.queued && boot_clock::now() < call.deadline) {
             this->send_request(call);
         }
     }
--- a/src/libwire/rpc_test.cpp
+++ b/src/libwire/rpc_test.cpp
@@ -123,6 +123,15 @@
     REQUIRE(error_of(call(client, echo_kind, "x", milliseconds(300))) == wire::wire_errc::not_sent);
 }
 
+// Failure: a process that stood still sends a request whose caller has given up since.
+TEST_CASE("a call whose deadline has passed is not sent", "[rpc]")
+{
+    fixture test;
+    wire::rpc_client client(test.client_loop, test.address, "secret", test.options);
+    REQUIRE(call(client, echo_kind, "x", milliseconds(2000)).ok());
+    REQUIRE(error_of(call(client, echo_kind, "x", milliseconds(-1))) == wire::wire_errc::not_sent);
+}
+
 // Guards against a malformed frame that affects other connections.
 TEST_CASE("a malformed frame closes only its own connection", "[rpc]")
 {
--- a/testsuite/single_process/run.sh
+++ b/testsuite/single_process/run.sh
@@ -61,6 +61,17 @@
 must_happen 20 all_serving
 check "the recorded answer survives a kill" [ "$(recount)" = "$first" ]
 check "the job's record survives a kill" job_is gang done
+# The caller gives up while the process is frozen; the request is still in the socket when it wakes.
+before=$(executed_requests)
+kill -STOP "${process_ids[all]}"
+curl -s -m 0.5 -H "Authorization: Bearer $(tr -d '\n' < "$example_dir/tokens/$account.token")" \
+    -H "X-Deadline-Ms: 500" -H "Idempotency-Key: $(date +%s)-frozen" --data lot \
+    "http://$entry_address/v1/requests/recounts" > /dev/null
+sleep 1
+kill -CONT "${process_ids[all]}"
+sleep 1
+check "a request whose caller gave up while the process was frozen is not run" \
+    [ "$(executed_requests)" -eq "$before" ]
 stop_process all
 check "a planned stop ends with status 0" [ "$?" -eq 0 ]
 start_daemon all
