--- a/src/libsupervisor/supervisor.cpp
+++ b/src/libsupervisor/supervisor.cpp
@@ -199,7 +199,7 @@
         }
         this->on_listing(*listing);
         if (this->must_lapse()) {
-            // The worker doesn't wait with its answer while it lists an end.
+            // The worker does not hold a renewal while it lists an end that is not acknowledged.
             this->renew_after(this->options.pause_after_failure);
         }
         else {
