Let an evacuation order rest on what was read while its operator waited

What callers saw: an operator withdrew an evacuation, got no answer in a second, had the order acknowledged at another gateway and evacuated the data centre anew (200).

Cause: set_evacuation carries nothing by which the state could tell a late copy from a new order. The only guard was the age of the message as the gateway guesses it from its own standstills; a message that waits elsewhere, or is read more than a second after a standstill, is new to it.

Change: the gateway reads the revision of the data centre's evacuation from the leader, then checks that the operator's connection is still open, then hands in the order with that revision. The state accepts an order that changes something only if no other order for the data centre was accepted since; else it is stale and answered 503, so that the operator sends it again. An order that was accepted before the read was sent by an operator who no longer waits here; one that was accepted after it changed the revision. Orders that change nothing count as well, since operators rely on their acknowledgement; they are never refused. It does not matter where the copy waited: before the gateway, in it, on the way to the leader, or in an earlier attempt of the same call.

The HTTP server tells handlers whether the client is still connected. Log lines evacuation_order and order_abandoned and the counter abandoned_orders_total say what became of an order; until now no line named the data centre.

Figures: an order takes a second round trip to the leader.

Gateways and replicas are to be updated together: a gateway of this version gets no revision from an older leader, and answers 503.

--- a/src/include/redwingwheel/http_server.h
+++ b/src/include/redwingwheel/http_server.h
@@ -52,6 +52,9 @@
     std::string body;
     /// IP address of the client.
     std::string peer;
+    /// False once the client has closed its connection or the server has stopped. A close that has
+    /// not reached this host yet is not seen. May be called from any thread, at any time.
+    std::function<bool()> client_connected = [] { return true; };
 
     /// Value of a header; empty when it is absent. `name` is in lower case.
     [[nodiscard]] std::string_view header(std::string_view name) const;
--- a/src/include/redwingwheel/job_gateway.h
+++ b/src/include/redwingwheel/job_gateway.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include <atomic>
 #include <functional>
-#include <string>
+#include <memory>
 
 #include "redwingwheel/control_loop.h"
 #include "redwingwheel/group_service.h"
@@ -44,6 +45,8 @@
 class job_gateway {
 public:
     using call_done = std::function<void(absl::StatusOr<messages::job_answer>)>;
+    /// False once the caller no longer waits for the response. Called on the control thread.
+    using caller_waits_function = std::function<bool()>;
 
     job_gateway(const gateway_options& options, cluster::group_service& group,
                 kernel::control_loop& control_loop, metrics::registry& counters,
@@ -58,13 +61,24 @@
     /// The caller gives up `caller_timeout` after it has sent its request, and may then withdraw it
     /// at another gateway. The call is not sent from then on, and a change that may be older than
     /// that when it is read is not carried out.
-    void call(messages::job_call call, milliseconds caller_timeout, call_done done);
+    ///
+    /// An evacuation, or its end, is carried out only if the caller still waits after the revision
+    /// that the order rests on has been read. No order that was accepted since the caller has given
+    /// up is undone then, however late this one is read or arrives.
+    void call(messages::job_call call, milliseconds caller_timeout,
+              caller_waits_function caller_waits, call_done done);
 
     /// True when a leader has answered within `readiness_timeout`. May be called from any thread.
     [[nodiscard]] bool leader_reachable() const;
 
 private:
+    struct forwarded_call;
+
     void probe();
+    /// Reads the revision that the order rests on, then sends the order.
+    void send_evacuation_order(const std::shared_ptr<forwarded_call>& order);
+    void send(const std::shared_ptr<forwarded_call>& forwarded);
+    void finish(const forwarded_call& forwarded, const absl::StatusOr<std::string>& body);
 
     gateway_options options;
     cluster::group_service& group;
--- a/src/include/redwingwheel/job_messages.h
+++ b/src/include/redwingwheel/job_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -109,6 +110,7 @@
     read_configuration,
     evacuate,
     restore,
+    read_evacuation,
 };
 
 /// A call of a client or an operator that a gateway forwards to the leader.
@@ -122,7 +124,10 @@
     jobs::job_definition definition;
     jobs::job_configuration configuration;
     std::string data_centre;
-    MSGPACK_DEFINE(operation, host, path, key, job, definition, configuration, data_centre)
+    /// Of `evacuate` and `restore`; see set_evacuation::expected_revision.
+    std::optional<std::uint64_t> evacuation_revision = std::nullopt;
+    MSGPACK_DEFINE(operation, host, path, key, job, definition, configuration, data_centre,
+                   evacuation_revision)
 };
 
 struct job_answer {
@@ -131,7 +136,9 @@
     std::uint64_t pending = 0;
     /// Answer to `read_configuration`: the configuration document as it was installed.
     std::string document;
-    MSGPACK_DEFINE(result, status, pending, document)
+    /// Answer to `read_evacuation`; see job_state::evacuation_revision.
+    std::uint64_t evacuation_revision = 0;
+    MSGPACK_DEFINE(result, status, pending, document, evacuation_revision)
 };
 
 } // namespace redwingwheel::messages
--- a/src/include/redwingwheel/job_state.h
+++ b/src/include/redwingwheel/job_state.h
@@ -27,7 +27,11 @@
 struct set_evacuation {
     std::string data_centre;
     bool evacuated = false;
-    MSGPACK_DEFINE(data_centre, evacuated)
+    /// Revision that was read while the operator waited for this order. An order that would change
+    /// the data centre is stale once another one has been accepted since: the operator may have
+    /// given it up before. Empty in log entries of earlier versions, which are never stale.
+    std::optional<std::uint64_t> expected_revision = std::nullopt;
+    MSGPACK_DEFINE(data_centre, evacuated, expected_revision)
 };
 
 struct submit_job {
@@ -227,6 +231,10 @@
     {
         return this->replicated.evacuated;
     }
+    /// Number of accepted orders to start or end the evacuation of a data centre, without those
+    /// that carry no expected revision. Orders that change nothing count too, since the operator
+    /// relies on their acknowledgement as well.
+    [[nodiscard]] std::uint64_t evacuation_revision(const std::string& data_centre) const;
     [[nodiscard]] const std::map<std::string, job_record>& jobs() const
     {
         return this->replicated.jobs;
@@ -271,8 +279,9 @@
         std::map<worker_incarnation, std::uint64_t> last_superseded_ends;
         /// Unix times in milliseconds at which ids were withdrawn, by account and id.
         std::map<std::string, std::map<std::string, std::int64_t>> withdrawn_ids;
+        std::map<std::string, std::uint64_t> evacuation_revisions; ///< By data centre.
         MSGPACK_DEFINE(configuration, evacuated, jobs, last_recorded_ends, last_superseded_ends,
-                       withdrawn_ids)
+                       withdrawn_ids, evacuation_revisions)
     };
 
     command_result apply_command(const install_configuration& command);
--- a/src/include/redwingwheel/scheduler_service.h
+++ b/src/include/redwingwheel/scheduler_service.h
@@ -38,6 +38,8 @@
     void apply(std::uint64_t index, const std::string& command);
     void log_ended_jobs(const record_ended_runs& command) const;
     void log_crash(const record_worker_crash& command) const;
+    void log_evacuation(const set_evacuation& order, std::uint64_t index,
+                        command_result result) const;
     void on_leadership(bool leads, std::uint64_t term);
     void propose(const job_command& command, command_done done);
 
--- a/src/libgateway/job_gateway.cpp
+++ b/src/libgateway/job_gateway.cpp
@@ -4,6 +4,7 @@
 #include <spdlog/spdlog.h>
 
 #include "redwingwheel/packing.h"
+#include "redwingwheel/printable.h"
 
 namespace redwingwheel::jobs {
 
@@ -13,7 +14,14 @@
 {
     return operation != messages::job_operation::status &&
            operation != messages::job_operation::count_pending &&
-           operation != messages::job_operation::read_configuration;
+           operation != messages::job_operation::read_configuration &&
+           operation != messages::job_operation::read_evacuation;
+}
+
+bool sets_evacuation(messages::job_operation operation)
+{
+    return operation == messages::job_operation::evacuate ||
+           operation == messages::job_operation::restore;
 }
 
 } // namespace
@@ -68,7 +76,19 @@
                                    });
 }
 
-void job_gateway::call(messages::job_call call, milliseconds caller_timeout, call_done done)
+struct job_gateway::forwarded_call {
+    messages::job_call call;
+    steady_time begun;
+    /// When the call ends if no leader has been found.
+    steady_time deadline;
+    /// When it ends if it may have been carried out.
+    steady_time outcome_deadline;
+    caller_waits_function caller_waits;
+    call_done done;
+};
+
+void job_gateway::call(messages::job_call call, milliseconds caller_timeout,
+                       caller_waits_function caller_waits, call_done done)
 {
     const steady_time begun = boot_clock::now();
     const milliseconds waited = this->standstills.max_waiting_time();
@@ -84,32 +104,85 @@
         return;
     }
     const steady_time caller_deadline = begun + caller_timeout - std::min(waited, caller_timeout);
-    this->loop.post([this, begun, caller_deadline, call = std::move(call), done = std::move(done)] {
-        this->group.leader().call_until_known(
-            messages::kind::job_call, pack(call),
-            std::min(begun + this->options.call_timeout, caller_deadline),
-            std::min(begun + this->options.retry_timeout, caller_deadline),
-            [this, begun, done](const absl::StatusOr<std::string>& body) {
-                this->metrics.observe(
-                    "leader_call_ms", "",
-                    std::chrono::duration<double, std::milli>(boot_clock::now() - begun).count());
-                if (!body.ok()) {
-                    const bool not_executed = error_code<control::leader_errc>(body.status()) ==
-                                              control::leader_errc::no_leader;
-                    done(translate_error(not_executed ? gateway_errc::not_carried_out
-                                                      : gateway_errc::unknown,
-                                         body.status()));
-                    return;
-                }
-                this->last_answer = boot_clock::now();
-                absl::StatusOr<messages::job_answer> answer = unpack<messages::job_answer>(*body);
-                if (!answer.ok()) {
-                    done(translate_error(gateway_errc::unknown, answer.status()));
-                    return;
-                }
-                done(*std::move(answer));
-            });
+    const std::shared_ptr<forwarded_call> forwarded =
+        std::make_shared<forwarded_call>(forwarded_call{
+            std::move(call), begun, std::min(begun + this->options.call_timeout, caller_deadline),
+            std::min(begun + this->options.retry_timeout, caller_deadline), std::move(caller_waits),
+            std::move(done)});
+    this->loop.post([this, forwarded] {
+        if (sets_evacuation(forwarded->call.operation)) {
+            this->send_evacuation_order(forwarded);
+        }
+        else {
+            this->send(forwarded);
+        }
     });
 }
 
+void job_gateway::send_evacuation_order(const std::shared_ptr<forwarded_call>& order)
+{
+    messages::job_call read;
+    read.operation = messages::job_operation::read_evacuation;
+    read.data_centre = order->call.data_centre;
+    this->group.leader().call(
+        messages::kind::job_call, pack(read), order->deadline,
+        [this, order](const absl::StatusOr<std::string>& body) {
+            const absl::StatusOr<messages::job_answer> answer =
+                body.ok() ? unpack<messages::job_answer>(*body) : body.status();
+            if (!answer.ok()) {
+                order->done(translate_error(gateway_errc::not_carried_out, answer.status()));
+                return;
+            }
+            if (answer->result != command_result::accepted) {
+                order->done(make_error(gateway_errc::not_carried_out,
+                                       "the leader did not return the evacuation's revision"));
+                return;
+            }
+            // Checked after the read: an order that was accepted before it was sent by a caller
+            // that no longer waits here.
+            if (!order->caller_waits()) {
+                this->metrics.add("abandoned_orders_total");
+                spdlog::warn("event=order_abandoned operation={} data_centre={} revision={}",
+                             static_cast<int>(order->call.operation),
+                             printable(order->call.data_centre), answer->evacuation_revision);
+                order->done(make_error(gateway_errc::not_carried_out,
+                                       "the caller gave up before the order was carried out"));
+                return;
+            }
+            order->call.evacuation_revision = answer->evacuation_revision;
+            this->send(order);
+        });
+}
+
+void job_gateway::send(const std::shared_ptr<forwarded_call>& forwarded)
+{
+    this->group.leader().call_until_known(
+        messages::kind::job_call, pack(forwarded->call), forwarded->deadline,
+        forwarded->outcome_deadline, [this, forwarded](const absl::StatusOr<std::string>& body) {
+            this->metrics.observe(
+                "leader_call_ms", "",
+                std::chrono::duration<double, std::milli>(boot_clock::now() - forwarded->begun)
+                    .count());
+            this->finish(*forwarded, body);
+        });
+}
+
+void job_gateway::finish(const forwarded_call& forwarded, const absl::StatusOr<std::string>& body)
+{
+    if (!body.ok()) {
+        const bool not_executed =
+            error_code<control::leader_errc>(body.status()) == control::leader_errc::no_leader;
+        forwarded.done(translate_error(
+            not_executed ? gateway_errc::not_carried_out : gateway_errc::unknown, body.status()));
+        return;
+    }
+    this->last_answer = boot_clock::now();
+    absl::StatusOr<messages::job_answer> answer = unpack<messages::job_answer>(*body);
+    if (!answer.ok()) {
+        forwarded.done(translate_error(gateway_errc::unknown, answer.status()));
+        return;
+    }
+    forwarded.done(*std::move(answer));
+}
+
 } // namespace redwingwheel::jobs
--- a/src/libgateway/job_gateway_test.cpp
+++ b/src/libgateway/job_gateway_test.cpp
@@ -50,10 +50,11 @@
         messages::job_call call;
         call.operation = operation;
         std::promise<absl::Status> result;
-        this->gateway.call(call, caller_timeout,
-                           [&result](const absl::StatusOr<messages::job_answer>& answer) {
-                               result.set_value(answer.status());
-                           });
+        this->gateway.call(
+            call, caller_timeout, [] { return true; },
+            [&result](const absl::StatusOr<messages::job_answer>& answer) {
+                result.set_value(answer.status());
+            });
         return result.get_future().get();
     }
 
--- a/src/libhttp/http_server.cpp
+++ b/src/libhttp/http_server.cpp
@@ -12,6 +12,7 @@
 #include <pistache/http.h>
 #include <pistache/peer.h>
 #include <pistache/transport.h>
+#include <poll.h>
 #include <spdlog/spdlog.h>
 #include <sys/socket.h>
 
@@ -95,6 +96,13 @@
     ::shutdown(peer.fd(), SHUT_WR);
 }
 
+/// True when the peer has closed the connection, even if input from before is still unread.
+bool is_closed_by_peer(int descriptor)
+{
+    pollfd events{descriptor, POLLRDHUP, 0};
+    return ::poll(&events, 1, 0) > 0;
+}
+
 /// The response to one request. Sends status 500 when it is destroyed without respond().
 class pending_response {
 public:
@@ -142,6 +150,14 @@
         return reachable;
     }
 
+    [[nodiscard]] bool client_connected() const
+    {
+        // The descriptor is not closed while the lock is held; see onDisconnection.
+        const std::lock_guard<std::mutex> guard(this->state->lock);
+        return !this->state->stopped && this->state->connected.contains(this->peer_id) &&
+               !is_closed_by_peer(this->writer.peer()->fd());
+    }
+
 private:
     [[nodiscard]] bool keeps_connection() const
     {
@@ -260,10 +276,14 @@
         connection->response_pending = true;
         const std::shared_ptr<pending_response> pending = std::make_shared<pending_response>(
             this->state, connection, std::move(response), peer->getID(), wants_keep_alive(request));
-        this->state->handler(to_server_request(request),
-                             [pending](const server_response& response_data) {
-                                 return pending->respond(response_data);
-                             });
+        server_request passed_on = to_server_request(request);
+        passed_on.client_connected = [observed = std::weak_ptr(pending)] {
+            const std::shared_ptr<pending_response> open = observed.lock();
+            return open != nullptr && open->client_connected();
+        };
+        this->state->handler(std::move(passed_on), [pending](const server_response& response_data) {
+            return pending->respond(response_data);
+        });
     }
 
     /// Replaces Pistache's input handling, which has two faults. It responds to a body over the
--- a/src/libhttp/http_test.cpp
+++ b/src/libhttp/http_test.cpp
@@ -473,3 +473,33 @@
     socket.close();
     stopping.join();
 }
+
+// Failure: a request is carried out although its client has left while it was being prepared.
+TEST_CASE("a handler learns that the client has closed its connection", "[http]")
+{
+    const wire::address address = free_address();
+    std::promise<http::server_request> received;
+    std::promise<http::responder> responder;
+    http::server server({}, [&](const http::server_request& request, http::responder respond) {
+        received.set_value(request);
+        responder.set_value(std::move(respond));
+    });
+    REQUIRE(server.start(address).ok());
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect(tcp::endpoint(asio::ip::make_address(address.ip), address.port));
+    asio::write(socket, asio::buffer(std::string("POST /a HTTP/1.1\r\nHost: x\r\n\r\n")));
+    const http::server_request request = received.get_future().get();
+    const http::responder respond = responder.get_future().get();
+    std::this_thread::sleep_for(milliseconds(50));
+    CHECK(request.client_connected());
+    // Unread input must not hide the close behind it.
+    asio::write(socket, asio::buffer(std::string("GET /b HTTP/1.1\r\nHost: x\r\n\r\n")));
+    socket.close();
+    CHECK_FALSE(request.client_connected());
+    std::this_thread::sleep_for(milliseconds(50));
+    CHECK_FALSE(request.client_connected());
+    respond({200, "text/plain", "", {}});
+    server.stop();
+    CHECK_FALSE(request.client_connected());
+}
--- a/src/libjobs/job_state.cpp
+++ b/src/libjobs/job_state.cpp
@@ -98,6 +98,15 @@
 
 command_result job_state::apply_command(const set_evacuation& command)
 {
+    if (command.expected_revision.has_value()) {
+        const bool changes_state =
+            this->replicated.evacuated.contains(command.data_centre) != command.evacuated;
+        if (changes_state &&
+            *command.expected_revision != this->evacuation_revision(command.data_centre)) {
+            return command_result::stale;
+        }
+        ++this->replicated.evacuation_revisions[command.data_centre];
+    }
     if (command.evacuated) {
         this->replicated.evacuated.insert(command.data_centre);
     }
@@ -467,6 +476,12 @@
     return absl::OkStatus();
 }
 
+std::uint64_t job_state::evacuation_revision(const std::string& data_centre) const
+{
+    const auto found = this->replicated.evacuation_revisions.find(data_centre);
+    return found == this->replicated.evacuation_revisions.end() ? 0 : found->second;
+}
+
 const job_record* job_state::find(const std::string& id) const
 {
     const auto found = this->replicated.jobs.find(id);
--- a/src/libjobs/job_state_test.cpp
+++ b/src/libjobs/job_state_test.cpp
@@ -273,6 +273,110 @@
     CHECK(state.apply(assign({{run_of(0, 1), worker_a}})) == command_result::accepted);
 }
 
+// Failure: an order that its operator has given up undoes a later one that was acknowledged.
+TEST_CASE("an evacuation order has no effect once a later one has been accepted")
+{
+    const auto order = [](bool evacuated, std::optional<std::uint64_t> expected_revision) {
+        return set_evacuation{"dc", evacuated, expected_revision};
+    };
+    for (const bool late : {false, true}) {
+        // The later order reverses the late one, which was accepted or not, or changes nothing.
+        for (const bool accepted_before : {false, true}) {
+            job_state state;
+            CHECK(state.apply(order(!late, 0)) == command_result::accepted);
+            const std::uint64_t read = state.evacuation_revision("dc");
+            if (accepted_before) {
+                CHECK(state.apply(order(late, read)) == command_result::accepted);
+                // A retry whose first attempt was accepted.
+                CHECK(state.apply(order(late, read)) == command_result::accepted);
+            }
+            CHECK(state.apply(order(!late, state.evacuation_revision("dc"))) ==
+                  command_result::accepted);
+            job_state restored;
+            REQUIRE(restored.restore_snapshot(state.pack_snapshot()).ok());
+            for (job_state* const each : {&state, &restored}) {
+                CHECK(each->apply(order(late, read)) == command_result::stale);
+                CHECK(each->evacuated().contains("dc") == !late);
+                // Sent again by an operator that still waits.
+                CHECK(each->apply(order(late, each->evacuation_revision("dc"))) ==
+                      command_result::accepted);
+                CHECK(each->evacuated().contains("dc") == late);
+            }
+        }
+    }
+}
+
+// Failure: a message that was held up on its way undoes what was accepted after it.
+TEST_CASE("a late copy of an accepted change has no effect after any later change")
+{
+    const auto evacuation = [](bool evacuated, std::uint64_t expected_revision) {
+        return [=](std::int64_t) { return set_evacuation{"dc", evacuated, expected_revision}; };
+    };
+    const auto submit = [](const std::string& id) {
+        return [id](std::int64_t now) {
+            return submit_job{id, "host", "/q/" + id, "key", make_job(1, false), now};
+        };
+    };
+    const auto cancel = [](const std::string& id) {
+        return [id](std::int64_t now) { return cancel_job{id, now, "account"}; };
+    };
+    const auto install = [](std::uint64_t version) {
+        return
+            [version](std::int64_t) { return install_configuration{make_configuration(version)}; };
+    };
+    // The leader stamps a change with the time at which it arrives.
+    const std::vector<std::function<job_command(std::int64_t now_unix_ms)>> changes = {
+        install(1),          submit("a"), evacuation(true, 0),  cancel("a"),
+        submit("a"),         install(3),  evacuation(false, 1), cancel("b"),
+        submit("b"),         install(2),  evacuation(true, 2),  submit("c"),
+        evacuation(true, 3), cancel("c"), evacuation(false, 4), install(5),
+    };
+    const auto visible_state = [](const job_state& state) {
+        std::string text = state.configuration().document;
+        for (const std::string& each : state.evacuated()) {
+            text += " evacuated " + each;
+        }
+        for (const auto& [id, job] : state.jobs()) {
+            text += " " + id + " " + std::to_string(static_cast<int>(job.status));
+        }
+        return text;
+    };
+    for (std::size_t count = 1; count <= changes.size(); ++count) {
+        for (std::size_t late = 0; late < count; ++late) {
+            job_state state;
+            for (std::size_t index = 0; index < count; ++index) {
+                state.apply(changes[index](static_cast<std::int64_t>(1000 * index)));
+            }
+            const std::string before = visible_state(state);
+            state.apply(changes[late](60'000));
+            INFO("change " << late << " again after " << count);
+            CHECK(visible_state(state) == before);
+        }
+    }
+}
+
+// Failure: orders for different data centres, or equal ones of two operators, hinder each other.
+TEST_CASE("evacuation orders that do not conflict are all accepted")
+{
+    job_state state;
+    const set_evacuation first{"dc1", true, 0};
+    const set_evacuation second{"dc2", true, 0};
+    for (const set_evacuation& each : {first, second, first, second}) {
+        CHECK(state.apply(each) == command_result::accepted);
+    }
+    CHECK(state.evacuated() == std::set<std::string>{"dc1", "dc2"});
+}
+
+// Failure: replicas differ after an update, since one of them has restored a snapshot of the
+// earlier version where another has applied the entries.
+TEST_CASE("evacuation entries of earlier versions take effect and count on no replica")
+{
+    job_state state;
+    state.apply(set_evacuation{"dc", true, std::nullopt});
+    CHECK(state.evacuated().contains("dc"));
+    CHECK(state.evacuation_revision("dc") == 0);
+}
+
 // Failure: a replica that restores a snapshot loses the assigned runs.
 TEST_CASE("a snapshot restores the whole state")
 {
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -5,6 +5,7 @@
 
 #include "redwingwheel/digest.h"
 #include "redwingwheel/packing.h"
+#include "redwingwheel/printable.h"
 
 namespace redwingwheel::jobs {
 
@@ -136,6 +137,9 @@
     if (const record_worker_crash* const crash = std::get_if<record_worker_crash>(&*read)) {
         this->log_crash(*crash);
     }
+    if (const set_evacuation* const order = std::get_if<set_evacuation>(&*read)) {
+        this->log_evacuation(*order, index, this->results[index]);
+    }
     if (this->state.configuration().version != version) {
         spdlog::info("event=configuration_in_force version={} previous={} index={}",
                      this->state.configuration().version, version, index);
@@ -163,6 +167,17 @@
     }
 }
 
+void scheduler_service::log_evacuation(const set_evacuation& order, std::uint64_t index,
+                                       command_result result) const
+{
+    spdlog::info("event=evacuation_order data_centre={} evacuated={} result={} "
+                 "expected_revision={} revision={} index={}",
+                 printable(order.data_centre), order.evacuated, command_result_name(result),
+                 order.expected_revision.has_value() ? std::to_string(*order.expected_revision)
+                                                     : "none",
+                 this->state.evacuation_revision(order.data_centre), index);
+}
+
 void scheduler_service::on_leadership(bool leads, std::uint64_t new_term)
 {
     this->leading = leads;
@@ -520,10 +535,12 @@
         this->commit_change(*call, install_configuration{std::move(call->configuration)}, answer);
         return;
     case messages::job_operation::evacuate:
-        this->commit_change(*call, set_evacuation{call->data_centre, true}, answer);
+        this->commit_change(
+            *call, set_evacuation{call->data_centre, true, call->evacuation_revision}, answer);
         return;
     case messages::job_operation::restore:
-        this->commit_change(*call, set_evacuation{call->data_centre, false}, answer);
+        this->commit_change(
+            *call, set_evacuation{call->data_centre, false, call->evacuation_revision}, answer);
         return;
     default:
         this->serve_read(*call, answer);
@@ -599,6 +616,12 @@
             answer(pack(made));
             return;
         }
+        if (call.operation == messages::job_operation::read_evacuation) {
+            made.evacuation_revision = this->state.evacuation_revision(call.data_centre);
+            made.result = command_result::accepted;
+            answer(pack(made));
+            return;
+        }
         made.result = this->check_caller(call);
         if (made.result == command_result::accepted &&
             call.operation == messages::job_operation::count_pending) {
