Let an order for a data centre have no effect after its operator has left

What callers saw, on the own interface: an operator restored a data centre at a frozen entry, gave up, had it restored at another entry and withdrew it again. When the first entry woke, it restored the data centre. The same came of an order that the network held up.

An entry forwards what it reads, however old it is, and repeats it for 30 s after the operator has left; set_data_centre has nothing by which a late copy is told from a new order. Besides, the leader answered an order that changes nothing from its own state without a commit, so that a leader that has been replaced could acknowledge what does not hold; by reading only.

Change: the entry reads the index of the latest accepted order for the data centre, checks that the operator is still connected, and sends the order with expected_order_index. An order that would change something is refused with 409 when another was accepted since. Every order is committed, also one that changes nothing. Operators may give expected_order_index themselves, and read it with GET /v1/data-centres/NAME. Repeated orders leave the ramp of a returned data centre alone.

With the check of the index taken out, the new case of control_state_test fails (8 checks); with repeats not counted, 4.

--- a/src/include/redwingwheel/control_state.h
+++ b/src/include/redwingwheel/control_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -82,7 +83,15 @@
     std::uint64_t change_index = 0;
     std::string operator_name;
     std::int64_t changed_ms = 0;
-    MSGPACK_DEFINE(in_service, change_index, operator_name, changed_ms)
+    /// Log index of the latest accepted order that changed nothing; 0 before the first.
+    std::uint64_t repeat_index = 0;
+
+    /// Log index of the latest accepted order, whether it changed anything or not.
+    [[nodiscard]] std::uint64_t order_index() const
+    {
+        return std::max(this->change_index, this->repeat_index);
+    }
+    MSGPACK_DEFINE(in_service, change_index, operator_name, changed_ms, repeat_index)
 };
 
 struct usage_record {
@@ -104,7 +113,12 @@
     bool in_service = true;
     std::string operator_name;
     std::int64_t now_ms = 0;
-    MSGPACK_DEFINE(data_centre, in_service, operator_name, now_ms)
+    /// data_centre_record::order_index as it was while the operator waited for this order. An order
+    /// that would change the data centre is refused once another one has been accepted since: the
+    /// operator may have given it up before. Empty in log entries of earlier versions, which always
+    /// take effect.
+    std::optional<std::uint64_t> expected_order_index = std::nullopt;
+    MSGPACK_DEFINE(data_centre, in_service, operator_name, now_ms, expected_order_index)
 };
 struct announce_worker {
     messages::worker_announcement worker;
--- a/src/include/redwingwheel/entry_service.h
+++ b/src/include/redwingwheel/entry_service.h
@@ -57,6 +57,13 @@
                        const http::responder& respond);
     /// Sends an operator's or client account's call to the control leader and returns its answer.
     void forward(http::server_request request, const http::responder& respond);
+    /// Reads which order for the data centre was accepted last. Sends the order only if its
+    /// operator still waits then, and so that it is refused once a later one has been accepted.
+    void forward_data_centre_order(const http::server_request& request,
+                                   const messages::operator_call& call,
+                                   const http::responder& respond);
+    void send_to_leader(const messages::operator_call& call, steady_time deadline,
+                        const std::function<void(const http::server_response&)>& done);
     /// Whether this entry may serve requests: the lease has not expired and the configuration has
     /// the revision that the last permit requires.
     [[nodiscard]] bool has_valid_permit() const;
--- a/src/libcontrol/control_state.cpp
+++ b/src/libcontrol/control_state.cpp
@@ -254,7 +254,17 @@
     if (this->config->find_data_centre(of.data_centre) == nullptr) {
         return refused(fmt::format("data centre {} is not configured", of.data_centre));
     }
-    this->data_centre_records[of.data_centre] = {of.in_service, index, of.operator_name, of.now_ms};
+    data_centre_record& record = this->data_centre_records[of.data_centre];
+    if (of.expected_order_index.has_value()) {
+        if (record.in_service == of.in_service) {
+            record.repeat_index = index;
+            return {};
+        }
+        if (*of.expected_order_index != record.order_index()) {
+            return refused("a later order for the data centre has been accepted");
+        }
+    }
+    record = {of.in_service, index, of.operator_name, of.now_ms};
     return {};
 }
 
--- a/src/libcontrol/control_state_test.cpp
+++ b/src/libcontrol/control_state_test.cpp
@@ -138,6 +138,34 @@
     REQUIRE(log.state.find_job("a")->state == control::job_state::cancelled);
 }
 
+// Guards against an order for a data centre that its operator has given up and that undoes a later
+// one, which may have changed nothing.
+TEST_CASE("an order for a data centre is refused once a later one has been accepted",
+          "[control_state]")
+{
+    const auto order = [](bool in_service, std::uint64_t expected_order_index) {
+        return control::set_data_centre{"dc1", in_service, "ops", 9, expected_order_index};
+    };
+    for (const bool late : {false, true}) {
+        for (const bool accepted_before : {false, true}) {
+            log_fixture log;
+            const auto latest = [&log] { return log.state.data_centre("dc1").order_index(); };
+            REQUIRE(log.apply(order(!late, latest())).accepted);
+            const std::uint64_t read = latest();
+            if (accepted_before) {
+                REQUIRE(log.apply(order(late, read)).accepted);
+                // A retry whose first attempt was accepted.
+                REQUIRE(log.apply(order(late, read)).accepted);
+            }
+            REQUIRE(log.apply(order(!late, latest())).accepted);
+            CHECK_FALSE(log.apply(order(late, read)).accepted);
+            CHECK(log.state.data_centre("dc1").in_service == !late);
+            CHECK(log.apply(order(late, latest())).accepted);
+            CHECK(log.state.data_centre("dc1").in_service == late);
+        }
+    }
+}
+
 // Guards against parts of the state that a restarted or a new replica would lose, and against a
 // truncated snapshot that changes the state.
 TEST_CASE("a snapshot restores the whole state", "[control_state]")
--- a/src/libcontrol/controller.cpp
+++ b/src/libcontrol/controller.cpp
@@ -187,13 +187,13 @@
                  of.data_centre, of.in_service, of.operator_name);
     this->update_data_centres();
     for (auto& [worker, row] : this->agent_table) {
-        if (row.agent.data_centre != of.data_centre) {
+        if (row.agent.data_centre != of.data_centre || row.agent.may_start == of.in_service) {
             continue;
         }
-        const bool returned = of.in_service && !row.agent.may_start;
         row.agent.may_start = of.in_service;
         row.agent.ramp_remaining_ms =
-            returned ? static_cast<std::uint64_t>(this->options.placement.ramp_time.count()) : 0;
+            of.in_service ? static_cast<std::uint64_t>(this->options.placement.ramp_time.count())
+                          : 0;
         this->increment_version(row);
     }
 }
--- a/src/libcontrol/operator_interface.cpp
+++ b/src/libcontrol/operator_interface.cpp
@@ -341,54 +341,77 @@
 
 void operator_interface::serve_data_centres(const parsed_call& call, const operator_callback& done)
 {
+    if (call.matches("GET", 2)) {
+        const std::string& name = call.path_segments[1];
+        if (this->state.configuration().find_data_centre(name) == nullptr) {
+            done(answer_refusal(404, fmt::format("data centre {} is not configured", name)));
+            return;
+        }
+        done(answer_json(200, this->data_centre_json(name)));
+    }
+    else if (call.matches("POST", 3) &&
+             (call.path_segments[2] == "withdraw" || call.path_segments[2] == "restore")) {
+        this->set_data_centre(call, done);
+    }
+    else {
+        done(unknown_path());
+    }
+}
+
+void operator_interface::set_data_centre(const parsed_call& call, const operator_callback& done)
+{
+    constexpr std::uint64_t max_index = std::numeric_limits<std::uint64_t>::max();
+    const std::string name = call.path_segments[1];
     const std::optional<std::uint64_t> wait = query_number(call, "wait_ms", 0, max_wait_ms);
-    const bool known = call.matches("POST", 3) &&
-                       (call.path_segments[2] == "withdraw" || call.path_segments[2] == "restore");
-    if (!known || !wait.has_value()) {
-        done(known ? invalid_query(call, "wait_ms", max_wait_ms) : unknown_path());
+    const std::optional<std::uint64_t> expected_index = query_number(
+        call, "expected_order_index", this->state.data_centre(name).order_index(), max_index);
+    if (!wait.has_value()) {
+        done(invalid_query(call, "wait_ms", max_wait_ms));
         return;
     }
-    const std::string name = call.path_segments[1];
-    const bool restore = call.path_segments[2] == "restore";
-    const data_centre_record now = this->state.data_centre(name);
-    const milliseconds timeout(*wait);
-    const operator_callback answer_in_force = done;
-    const auto answer = [this, name, timeout, done] {
-        waiting_call waiter;
-        waiter.in_force = [this, name] {
-            const bool in_service = this->state.data_centre(name).in_service;
-            return in_service || this->decisions.withdrawal(name).in_force;
-        };
-        waiter.answer = [this, name](bool in_force) {
-            const data_centre_record record = this->state.data_centre(name);
-            return answer_json(200, {{"data_centre", name},
-                                     {"state", record.in_service ? "in_service" : "withdrawn"},
-                                     {"in_force", in_force},
-                                     {"change_index", record.change_index}});
-        };
-        waiter.deadline = this->clock() + timeout;
-        waiter.done = done;
-        this->answer_when_in_force(std::move(waiter));
-    };
-    if (this->state.configuration().find_data_centre(name) != nullptr &&
-        now.in_service == restore) {
-        answer();
+    if (!expected_index.has_value()) {
+        done(invalid_query(call, "expected_order_index", max_index));
         return;
     }
-    this->hooks.propose(set_data_centre{name, restore, call.caller, this->hooks.wall_clock_ms()},
-                        [done, answer](const absl::StatusOr<command_result>& result) {
+    const bool restore = call.path_segments[2] == "restore";
+    const milliseconds timeout(*wait);
+    this->hooks.propose(control::set_data_centre{name, restore, call.caller,
+                                                 this->hooks.wall_clock_ms(), *expected_index},
+                        [this, name, timeout, done](const absl::StatusOr<command_result>& result) {
                             if (!result.ok()) {
                                 done(unavailable(result.status()));
+                                return;
                             }
-                            else if (!result->accepted) {
-                                done(answer_refusal(404, result->reason));
-                            }
-                            else {
-                                answer();
+                            if (!result->accepted) {
+                                const bool configured =
+                                    this->state.configuration().find_data_centre(name) != nullptr;
+                                done(answer_refusal(configured ? 409 : 404, result->reason));
+                                return;
                             }
+                            waiting_call waiter;
+                            waiter.in_force = [this, name] {
+                                const bool in_service = this->state.data_centre(name).in_service;
+                                return in_service || this->decisions.withdrawal(name).in_force;
+                            };
+                            waiter.answer = [this, name](bool) {
+                                return answer_json(200, this->data_centre_json(name));
+                            };
+                            waiter.deadline = this->clock() + timeout;
+                            waiter.done = done;
+                            this->answer_when_in_force(std::move(waiter));
                         });
 }
 
+json operator_interface::data_centre_json(const std::string& name) const
+{
+    const data_centre_record record = this->state.data_centre(name);
+    return {{"data_centre", name},
+            {"state", record.in_service ? "in_service" : "withdrawn"},
+            {"in_force", record.in_service || this->decisions.withdrawal(name).in_force},
+            {"change_index", record.change_index},
+            {"order_index", record.order_index()}};
+}
+
 void operator_interface::serve_jobs(const parsed_call& call, const operator_callback& done)
 {
     if (call.matches("POST", 1)) {
--- a/src/libcontrol/operator_interface.h
+++ b/src/libcontrol/operator_interface.h
@@ -66,6 +66,8 @@
     void serve_diff(const parsed_call& call, const operator_callback& done) const;
     void serve_revision(const parsed_call& call, const operator_callback& done) const;
     void serve_data_centres(const parsed_call& call, const operator_callback& done);
+    void set_data_centre(const parsed_call& call, const operator_callback& done);
+    [[nodiscard]] nlohmann::json data_centre_json(const std::string& name) const;
     void serve_jobs(const parsed_call& call, const operator_callback& done);
     void submit_job(const parsed_call& call, const operator_callback& done);
     void list_jobs(const parsed_call& call, const operator_callback& done) const;
--- a/src/libentry/entry_service.cpp
+++ b/src/libentry/entry_service.cpp
@@ -26,6 +26,8 @@
 constexpr milliseconds operator_call_timeout{30'000};
 constexpr std::uint64_t max_deadline_ms = 3'600'000;
 constexpr std::string_view request_path = "/v1/requests/";
+constexpr std::string_view data_centres_path = "/v1/data-centres/";
+constexpr std::string_view expected_order_parameter = "expected_order_index";
 constexpr std::string_view bearer_prefix = "Bearer ";
 
 std::uint64_t draw_random()
@@ -298,26 +300,72 @@
     call.path = request.path;
     call.query = query_text(request.query);
     call.body = std::move(request.body);
-    this->control.call(
-        messages::kind::operator_call, pack(call), boot_clock::now() + operator_call_timeout,
-        [respond](const absl::StatusOr<std::string>& body) {
-            if (!body.ok()) {
-                const bool not_carried_out = error_code<control::leader_errc>(body.status()) ==
-                                             control::leader_errc::no_leader;
-                respond(error_response(503, not_carried_out ? "not_run" : "unknown",
-                                       errors::message_of(body.status())));
+    if (call.method == "POST" && call.path.starts_with(data_centres_path) &&
+        !request.query.contains(expected_order_parameter)) {
+        this->forward_data_centre_order(request, call, respond);
+        return;
+    }
+    this->send_to_leader(call, boot_clock::now() + operator_call_timeout, respond);
+}
+
+void entry_service::forward_data_centre_order(const http::server_request& request,
+                                              const messages::operator_call& call,
+                                              const http::responder& respond)
+{
+    const steady_time deadline = boot_clock::now() + operator_call_timeout;
+    messages::operator_call read = call;
+    read.method = "GET";
+    read.path = call.path.substr(0, call.path.rfind('/'));
+    read.query.clear();
+    this->send_to_leader(
+        read, deadline,
+        [this, call, deadline, waits = request.client_connected,
+         respond](const http::server_response& response) {
+            const json answer = json::parse(response.body, nullptr, false);
+            if (response.status != 200 || !answer.is_object() || !answer.contains("order_index")) {
+                respond(response);
                 return;
             }
-            const absl::StatusOr<messages::operator_answer> answer =
-                unpack<messages::operator_answer>(*body);
-            if (!answer.ok()) {
-                respond(error_response(502, "unknown", "the answer is not readable"));
+            // Checked after the read: an order that was accepted before it was sent by an operator
+            // who no longer waits here.
+            if (!waits()) {
+                this->metrics.add("abandoned_orders_total");
+                spdlog::warn("event=order_abandoned path={} operator={}", printable(call.path),
+                             call.caller);
+                respond(error_response(503, "not_run", "the operator has disconnected"));
                 return;
             }
-            respond({answer->status, "application/json", answer->body, {}});
+            messages::operator_call order = call;
+            order.query +=
+                fmt::format("{}{}={}", order.query.empty() ? "" : "&", expected_order_parameter,
+                            json_text::dump(answer.at("order_index")));
+            this->send_to_leader(order, deadline, respond);
         });
 }
 
+void entry_service::send_to_leader(const messages::operator_call& call, steady_time deadline,
+                                   const std::function<void(const http::server_response&)>& done)
+{
+    this->control.call(messages::kind::operator_call, pack(call), deadline,
+                       [done](const absl::StatusOr<std::string>& body) {
+                           if (!body.ok()) {
+                               const bool not_carried_out =
+                                   error_code<control::leader_errc>(body.status()) ==
+                                   control::leader_errc::no_leader;
+                               done(error_response(503, not_carried_out ? "not_run" : "unknown",
+                                                   errors::message_of(body.status())));
+                               return;
+                           }
+                           const absl::StatusOr<messages::operator_answer> answer =
+                               unpack<messages::operator_answer>(*body);
+                           if (!answer.ok()) {
+                               done(error_response(502, "unknown", "the answer is not readable"));
+                               return;
+                           }
+                           done({answer->status, "application/json", answer->body, {}});
+                       });
+}
+
 void entry_service::poll()
 {
     if (this->stopping) {
