--- a/src/libentry/entry_service.cpp
+++ b/src/libentry/entry_service.cpp
@@ -326,8 +326,8 @@
                 respond(response);
                 return;
             }
-            // Checked after the read: an order that was accepted before it was sent by an operator
-            // who no longer waits here.
+            // Checked after the read. A conflicting order that was accepted before the read was
+            // sent after this operator had left; one accepted later changes the index.
             if (!waits()) {
                 this->metrics.add("abandoned_orders_total");
                 spdlog::warn("event=order_abandoned path={} operator={}", printable(call.path),
--- a/src/libgateway/job_gateway.cpp
+++ b/src/libgateway/job_gateway.cpp
@@ -138,8 +138,8 @@
                                        "the leader did not return the evacuation's revision"));
                 return;
             }
-            // Checked after the read: an order that was accepted before it was sent by a caller
-            // that no longer waits here.
+            // Checked after the read. A conflicting order that was accepted before the read was
+            // sent after this caller had left; one accepted later changes the revision.
             if (!order->caller_waits()) {
                 this->metrics.add("abandoned_orders_total");
                 spdlog::warn("event=order_abandoned operation={} data_centre={} revision={}",
