--- a/review/stand_in_2/cases.cpp
+++ b/review/stand_in_2/cases.cpp
@@ -41,12 +41,23 @@
     return make_manifest(version, {make_tenant("kaje80", {first_key}, 16), make_tenant("mora11", {second_key}, 16)});
 }
 
+std::string kind_a(int)
+{
+    return "a";
+}
+
 /// Worker 10 is the only one of kind b.
 std::string kind_b_last(int index)
 {
     return index == 10 ? "b" : "a";
 }
 
+/// The three workers of the first rack are those of kind b.
+std::string kind_b_first_rack(int index)
+{
+    return index < 3 ? "b" : "a";
+}
+
 /// Starts everything, as the platform does, and brings the first manifest into force.
 void begin(deployment& site)
 {
@@ -346,6 +357,47 @@
                              "shown as " + state);
 }
 
+/// A gang waits for all workers of a kind; a small job that fits into their idle rest waits with it.
+bool reserved_kind(deployment& site, bool trouble)
+{
+    begin(site);
+    // A task whose data is in another rack takes three times as long (RemotePenalty): 33 s.
+    step_spec remote{1, 2800, 4100, 1, 33'000, false, false, "b"};
+    remote.affinity = "r1-2";
+    site.submit_until_accepted("/recount/", job_id(1), {remote}, first_key);
+    std::this_thread::sleep_for(ms(2500));
+    if (trouble) {
+        step_spec gang{3, 13000, 26000, 8, 11'000, false, false, "b"};
+        gang.gang = true;
+        site.submit_until_accepted("/crate/", job_id(2), {gang}, second_key);
+        std::this_thread::sleep_for(ms(3000));
+    }
+    site.submit_until_accepted("/recount/", job_id(3), {{1, 2800, 4100, 1, 3000, false, false, "b"}}, first_key);
+    const long traffic_end = now_ms();
+    record("end of the traffic");
+    sleep_until_ms(traffic_end + bounds::finish_ms);
+    const std::string state = state_of(site.status(3, "/recount/", job_id(3), first_key));
+    if (state == "completed") {
+        return held("the job is completed");
+    }
+    const long from = now_ms();
+    int most = 0;
+    while (now_ms() < from + 3000) {
+        int used = 0;
+        for (const auto& each : site.workers) {
+            used += each->gpus_in_use();
+        }
+        most = std::max(most, used);
+        std::this_thread::sleep_for(ms(50));
+    }
+    if (!worker::has_started(job_id(3)) && most < 44) {
+        return broken("LOST", "14 s after the end of the traffic the job, " + state +
+                                  ", has nothing running for 3 s, and at most " + std::to_string(most) +
+                                  " of 88 GPUs are in use");
+    }
+    return held("the job runs");
+}
+
 struct case_entry {
     bool (*run)(deployment&, bool);
     deployment_plan plan;
@@ -361,12 +413,13 @@
     }
     ::signal(SIGPIPE, SIG_IGN);
     const std::map<std::string, case_entry> cases{
-        {"first_start_freeze", {first_start_freeze, {1, 4, false}}},
-        {"sound_again", {sound_again, {1, 11, false, kind_b_last}}},
-        {"flapping", {flapping, {1, 11, false, kind_b_last}}},
-        {"silent_channel", {silent_channel, {1, 11, true}}},
-        {"shedding", {shedding, {1, 11, false, kind_b_last}}},
-        {"lasting_borrower", {lasting_borrower, {1, 11, false}}},
+        {"first_start_freeze", {first_start_freeze, {1, 4, true, 3500, kind_a}}},
+        {"sound_again", {sound_again, {1, 11, false, 0, kind_b_last}}},
+        {"flapping", {flapping, {1, 11, false, 0, kind_b_last}}},
+        {"silent_channel", {silent_channel, {1, 11, true, 0, kind_a}}},
+        {"shedding", {shedding, {1, 11, false, 0, kind_b_last}}},
+        {"reserved_kind", {reserved_kind, {1, 11, false, 0, kind_b_first_rack}}},
+        {"lasting_borrower", {lasting_borrower, {1, 11, false, 0, kind_a}}},
     };
     const auto chosen = cases.find(argv[1]);
     if (chosen == cases.end()) {
--- a/review/stand_in_2/lab.cpp
+++ b/review/stand_in_2/lab.cpp
@@ -275,7 +275,8 @@
 
 // --- relay --------------------------------------------------------------------------------------
 
-relay::relay(address listen, address to) : at(std::move(listen)), target(std::move(to)), listener(listen_on(at))
+relay::relay(address listen, address to, int delay)
+    : at(std::move(listen)), target(std::move(to)), delay_us(delay), listener(listen_on(at))
 {
     this->acceptor = std::thread([this] { this->serve(); });
 }
@@ -336,6 +337,7 @@
 void relay::pump(int from, int to, bool forward, std::shared_ptr<std::atomic<bool>> silent)
 {
     char buffer[65536];
+    std::minstd_rand random(std::random_device{}());
     while (true) {
         const ssize_t received = ::recv(from, buffer, sizeof buffer, 0);
         if (received <= 0) {
@@ -354,6 +356,11 @@
         if (!forward && *silent) {
             continue;
         }
+        if (this->delay_us > 0) {
+            const int spread = this->delay_us * 3 / 10;
+            std::this_thread::sleep_for(std::chrono::microseconds(
+                this->delay_us - spread + static_cast<int>(random() % static_cast<unsigned>(2 * spread + 1))));
+        }
         if (!send_all(to, buffer, static_cast<std::size_t>(received))) {
             break;
         }
@@ -376,6 +383,12 @@
     if (this->lasts) {
         step["LongRunning"] = true;
     }
+    if (this->gang) {
+        step["Gang"] = true;
+    }
+    if (!this->affinity.empty()) {
+        step["Affinity"] = this->affinity;
+    }
     return step;
 }
 
@@ -878,7 +891,8 @@
         std::unique_ptr<gateway> made = std::make_unique<gateway>();
         if (plan.relays && each < core_gateways) {
             settings += "  bind: \"" + ip + ":" + std::to_string(internal + 2) + "\"\n";
-            made->link = std::make_unique<relay>(address{ip, internal}, address{ip, internal + 2});
+            made->link = std::make_unique<relay>(address{ip, internal}, address{ip, internal + 2},
+                                                  plan.link_delay_us);
         }
         if (each < core_gateways) {
             const std::string data = this->folder + "/data-" + std::to_string(each);
--- a/review/stand_in_2/lab.h
+++ b/review/stand_in_2/lab.h
@@ -93,7 +93,8 @@
 /// work.
 class relay {
 public:
-    relay(address listen, address to);
+    /// Bytes arrive `delay_us`, give or take 30 %, later.
+    relay(address listen, address to, int delay_us);
     ~relay();
     /// The first channel of all relays over which this text is sent from the client's side goes silent towards the
     /// client.
@@ -104,6 +105,7 @@
     void serve();
     void pump(int from, int to, bool forward, std::shared_ptr<std::atomic<bool>> silent);
     address at, target;
+    int delay_us;
     int listener = -1;
     std::atomic<bool> stopping{false};
     static std::atomic<bool> silenced;
@@ -121,6 +123,8 @@
     int count = 1, cpu = 1000, mem = 1000, gpu = 1, work_ms = 1000;
     bool fails = false, lasts = false;
     std::string label;
+    bool gang = false;
+    std::string affinity; ///< The rack of its data.
     [[nodiscard]] json to_json() const;
 };
 
@@ -228,8 +232,9 @@
     int plain_gateways = 1; ///< Without a disk.
     int workers = 11;
     bool relays = false; ///< Between the processes and each core gateway's own port.
+    int link_delay_us = 0; ///< Of these relays, one way.
     /// Labels in addition to kind and rack are not allowed: a worker has these two.
-    std::function<std::string(int)> kind = [](int) { return std::string("a"); };
+    std::function<std::string(int)> kind;
 };
 
 class deployment {
