--- a/review/stand_in_2/cases.cpp
+++ b/review/stand_in_2/cases.cpp
@@ -357,6 +357,46 @@
                              "shown as " + state);
 }
 
+/// A tenant's lasting job uses all accelerators; another tenant claims what is guaranteed to it.
+bool urgent_borrower(deployment& site, bool trouble)
+{
+    begin(site);
+    if (trouble) {
+        // The widest job of the site's classes has 55 tasks.
+        step_spec lasting{44, 1000, 2000, 1, 24'000};
+        site.submit_until_accepted("/price/", job_id(1), {lasting}, second_key);
+        site.submit_until_accepted("/price/", job_id(3), {lasting}, second_key);
+        std::this_thread::sleep_for(ms(5000));
+        int used = 0;
+        for (const auto& each : site.workers) {
+            used += each->gpus_in_use();
+        }
+        record("the lasting jobs of mora11 use " + std::to_string(used) + " of 88 GPUs");
+    }
+    site.submit_until_accepted("/price/", job_id(2), {{2, 3700, 7600, 8, 2500}}, first_key);
+    const long accepted = now_ms();
+    while (now_ms() < accepted + 30'000) {
+        std::set<std::string> begun;
+        {
+            const std::lock_guard<std::mutex> guard(worker::events_lock);
+            for (const start_event& each : worker::starts) {
+                if (job_book::job_of(each.task) == job_id(2)) {
+                    begun.insert(each.task);
+                }
+            }
+        }
+        if (begun.size() == 2) {
+            const long took = now_ms() - accepted;
+            return took <= bounds::reclaim_ms ? held("begun after " + std::to_string(took) + " ms")
+                                              : broken("RECLAIM", "begun after " + std::to_string(took) + " ms");
+        }
+        std::this_thread::sleep_for(ms(20));
+    }
+    const std::string state = state_of(site.status(3, "/price/", job_id(2), first_key));
+    return broken("RECLAIM", "30 s after its ack the job of priority 0, 16 of 16 guaranteed GPUs, has not begun; "
+                             "shown as " + state);
+}
+
 /// A gang waits for all workers of a kind; a small job that fits into their idle rest waits with it.
 bool reserved_kind(deployment& site, bool trouble)
 {
@@ -419,6 +459,7 @@
         {"silent_channel", {silent_channel, {1, 11, true, 0, kind_a}}},
         {"shedding", {shedding, {1, 11, false, 0, kind_b_last}}},
         {"reserved_kind", {reserved_kind, {1, 11, false, 0, kind_b_first_rack}}},
+        {"urgent_borrower", {urgent_borrower, {1, 11, false, 0, kind_a}}},
         {"lasting_borrower", {lasting_borrower, {1, 11, false, 0, kind_a}}},
     };
     const auto chosen = cases.find(argv[1]);
--- a/review/stand_in_2/lab.cpp
+++ b/review/stand_in_2/lab.cpp
@@ -11,6 +11,7 @@
 #include <random>
 #include <signal.h>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -167,6 +168,7 @@
         throw cannot_run("fork failed");
     }
     if (this->pid == 0) {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL); // Also ends when this program is killed.
         const int out = ::open(this->log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(out, 1);
         ::dup2(out, 2);
