--- a/review/stand_in_2/cases.cpp
+++ b/review/stand_in_2/cases.cpp
@@ -46,7 +46,7 @@
     return "a";
 }
 
-/// Worker 10 is the only one of kind b.
+/// Worker 10 is the only one of kind b, of 11 or 12.
 std::string kind_b_last(int index)
 {
     return index == 10 ? "b" : "a";
@@ -194,7 +194,7 @@
     for (const auto& each : site.workers) {
         used += each->gpus_in_use();
     }
-    record("GPUs in use: " + std::to_string(used) + " of 88");
+    record("GPUs in use: " + std::to_string(used) + " of " + std::to_string(8 * site.workers.size()));
     if (idle && !worker::has_started(job_id(2)) && used < 44) {
         return broken("LOST", "14 s after the end of the traffic the job, " + state +
                                   ", has nothing running for 3 s, while w10 has been idle and sound for " +
@@ -454,7 +454,7 @@
     ::signal(SIGPIPE, SIG_IGN);
     const std::map<std::string, case_entry> cases{
         {"first_start_freeze", {first_start_freeze, {1, 4, true, 3500, kind_a}}},
-        {"sound_again", {sound_again, {1, 11, false, 0, kind_b_last}}},
+        {"sound_again", {sound_again, {1, 12, false, 0, kind_b_last}}},
         {"flapping", {flapping, {1, 11, false, 0, kind_b_last}}},
         {"silent_channel", {silent_channel, {1, 11, true, 0, kind_a}}},
         {"shedding", {shedding, {1, 11, false, 0, kind_b_last}}},
