Bound what unfinished requests may hold, on every listener

Callers of a gateway under a crowd of hostile clients got no answer, and the gateway ended: each connection kept its request twice, Pistache's parser copied the whole body for each chunk of it, nothing limited all requests together, silent connections were not counted, and an unauthenticated peer of the internal port could claim 4 MiB with five bytes.

- request_framer finds the end of a request and undoes chunks at linear cost; Pistache's parser reads headers only.
A body over the limit is refused when it is announced, or as soon as it has grown over it.
- connection_table decides whom to close: unfinished requests share limits.unfinished_kb, and over it those that stall and then the largest get 503; a connection over limits.connections takes the place of one that has been idle for a second; limits.stall_ms and limits.request_ms end with 408.
Connections are also limited to a share of the descriptors, so that files and the other processes keep theirs.
A request that was passed on is never cut.
- A refused client that sends on is cut off after a bounded number of bytes, since Pistache reads a connection until it is empty.
Receive buffers are 32 kB: what waits there counts as memory of the process too.
- Frames over 1 kB are refused before authentication, and the oldest unauthenticated connection makes room.
- connections_limited_total counts by listener and cause; the log names the cause.

Ruled out: a timer that ends stalled requests by itself. Only others that need the room make a stalled request a problem, so that the search runs when they come, and an idle process is not woken.

A body in chunks of one byte got 413 before and is served now.

--- a/src/cmake/targets.cmake
+++ b/src/cmake/targets.cmake
@@ -30,9 +30,21 @@
     catch_discover_tests(${NAME} TEST_PREFIX "${NAME}: " PROPERTIES TIMEOUT 300)
 endfunction()
 
-# rww_testsuite(NAME) runs testsuite/NAME/run.sh against the built programs.
+# rww_testsuite(NAME [CASES a b...]) runs testsuite/NAME/run.sh against the built programs, with CASES
+# once for each, with the case as second argument.
 function(rww_testsuite NAME)
-    add_test(NAME testsuite_${NAME} COMMAND ${CMAKE_SOURCE_DIR}/testsuite/${NAME}/run.sh
-             ${CMAKE_BINARY_DIR}/bin WORKING_DIRECTORY ${CMAKE_SOURCE_DIR}/testsuite/${NAME})
-    set_tests_properties(testsuite_${NAME} PROPERTIES TIMEOUT 300 RUN_SERIAL ON)
+    cmake_parse_arguments(ARG "" "" "CASES" ${ARGN})
+    if(NOT ARG_CASES)
+        rww_add_testsuite(testsuite_${NAME} ${NAME})
+    endif()
+    foreach(case_name IN LISTS ARG_CASES)
+        rww_add_testsuite(testsuite_${NAME}_${case_name} ${NAME} ${case_name})
+    endforeach()
+endfunction()
+
+function(rww_add_testsuite TEST_NAME FOLDER)
+    add_test(NAME ${TEST_NAME} COMMAND ${CMAKE_SOURCE_DIR}/testsuite/${FOLDER}/run.sh
+             ${CMAKE_BINARY_DIR}/bin ${ARGN}
+             WORKING_DIRECTORY ${CMAKE_SOURCE_DIR}/testsuite/${FOLDER})
+    set_tests_properties(${TEST_NAME} PROPERTIES TIMEOUT 300 RUN_SERIAL ON)
 endfunction()
--- a/src/include/redwingwheel/frame.h
+++ b/src/include/redwingwheel/frame.h
@@ -44,6 +44,9 @@
 /// Limit of the length field. Bounds the memory that a peer can make this process allocate for one
 /// message.
 constexpr std::size_t max_frame_bytes = std::size_t{4} * 1024 * 1024;
+/// Limit of the length field until a client has proved that it has the secret. The proof, its
+/// client's challenge and the framing take less than 200 bytes.
+constexpr std::size_t max_handshake_bytes = 1024;
 
 enum class frame_type : std::uint8_t {
     /// Handshake, from the server: its random challenge.
@@ -86,8 +89,9 @@
 
 /// Returns the size in bytes of the payload after a header of frame_header_bytes.
 /// Errors: bad_frame for a truncated header, another protocol version, or a length of 0 or over
-/// max_frame_bytes.
-[[nodiscard]] absl::StatusOr<std::size_t> decode_header(std::string_view header);
+/// `max_bytes`.
+[[nodiscard]] absl::StatusOr<std::size_t> decode_header(std::string_view header,
+                                                        std::size_t max_bytes = max_frame_bytes);
 
 /// Deserializes the payload after the header. Errors: bad_frame when it is malformed or has an
 /// unknown frame type.
--- a/src/include/redwingwheel/http_server.h
+++ b/src/include/redwingwheel/http_server.h
@@ -80,8 +80,24 @@
     int threads = 2;
     /// Larger requests get status 413, and their connection is closed.
     std::size_t max_request_bytes = std::size_t{1024} * 1024;
-    /// Requests on connections over this number get status 503, and their connection is closed.
+    /// A connection over this number takes the place of one that is idle; when none is, its request
+    /// gets status 503 and it is closed.
     std::size_t max_connections = 1024;
+    /// Share of the descriptors that the process may open: connections are limited to it as well,
+    /// so that clients cannot keep the process from opening files and other connections.
+    double descriptor_share = 0.5;
+    /// Memory that all unfinished requests may hold together. Over it, requests that stall get
+    /// status 503 first, then the largest ones, and their connections are closed. At least the
+    /// memory of one request, which is up to twice max_request_bytes.
+    std::size_t max_unfinished_bytes = std::size_t{8} * 1024 * 1024;
+    /// An unfinished request that has received nothing for this long gets status 408.
+    milliseconds max_stall{15'000};
+    /// A request that takes longer than this to arrive gets status 408.
+    milliseconds max_request_time{60'000};
+    /// Called for each connection that is closed for one of these limits, with the name of the
+    /// cause: connections, memory, stalled, too_slow, unreadable. Called on any thread of the
+    /// server.
+    std::function<void(std::string_view cause)> on_limit = [](std::string_view) {};
 };
 
 /// HTTP server that passes requests to a handler, one at a time per connection. When a client sends
--- a/src/include/redwingwheel/settings.h
+++ b/src/include/redwingwheel/settings.h
@@ -88,6 +88,14 @@
     milliseconds lease{6000}; ///< Longest lease that the worker grants.
 };
 
+/// What clients may take of the process, for each of its HTTP listeners.
+struct limit_settings {
+    std::uint32_t connections = 1024;
+    std::uint32_t unfinished_kb = 8192; ///< Memory of all unfinished requests together, KiB.
+    milliseconds stall{15'000};         ///< Longest time without input in an unfinished request.
+    milliseconds request{60'000};       ///< Longest time for a request to arrive.
+};
+
 struct metrics_settings {
     std::string listen; ///< IP:port of the metrics page; empty: none.
 };
@@ -108,6 +116,7 @@
     gateway_settings gateway;
     supervisor_settings supervisor;
     metrics_settings metrics;
+    limit_settings limits;
 };
 
 /// Reads and checks settings. `file_name` is used in messages only. Sections of roles that the
--- a/src/libconfig/documents_test.cpp
+++ b/src/libconfig/documents_test.cpp
@@ -180,7 +180,7 @@
     std::set<std::string> known;
     for (const char* const section :
          {"", "log.", "control.", "entry.", "agent.", "timing.", "entry.operators[].", "cluster.",
-          "gateway.", "supervisor.", "metrics."}) {
+          "gateway.", "supervisor.", "metrics.", "limits."}) {
         const std::string path = fmt::format("{}zz", section);
         const std::string allowed = problem_at(problems_with(with_value(path, "1")), path).allowed;
         REQUIRE(allowed.substr(0, 7) == "one of ");
@@ -191,7 +191,7 @@
         }
     }
     for (const char* const section : {"log", "control", "entry", "agent", "timing", "cluster",
-                                      "gateway", "supervisor", "metrics"}) {
+                                      "gateway", "supervisor", "metrics", "limits"}) {
         REQUIRE(known.erase(section) == 1);
     }
     REQUIRE(documented == known);
@@ -209,6 +209,10 @@
         {"cluster.founding", "false"},
         {"cluster.tolerated_losses",
          fmt::format("{}", config::cluster_settings().tolerated_losses)},
+        {"limits.connections", fmt::format("{}", config::limit_settings().connections)},
+        {"limits.unfinished_kb", fmt::format("{}", config::limit_settings().unfinished_kb)},
+        {"limits.stall_ms", fmt::format("{}", config::limit_settings().stall.count())},
+        {"limits.request_ms", fmt::format("{}", config::limit_settings().request.count())},
         {"timing.poll_ms", fmt::format("{}", config::timing_settings().poll.count())},
         {"timing.permit_ms", fmt::format("{}", config::timing_settings().permit.count())},
         {"timing.drain_ms", fmt::format("{}", config::timing_settings().drain.count())}};
--- a/src/libconfig/settings.cpp
+++ b/src/libconfig/settings.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t max_operators = 1000;
 /// Stays under the 4 MiB frame limit between daemons with room for the headers.
 constexpr std::int64_t max_body_kb = 3072;
+/// A growing buffer takes up to twice the size of the largest request.
+constexpr std::int64_t min_unfinished_kb = 2 * max_body_kb;
 /// A permit must outlive one lost poll, or a single lost message would stop work.
 constexpr int polls_per_permit = 2;
 
@@ -212,6 +214,18 @@
     return supervisor;
 }
 
+limit_settings read_limits(map_reader map)
+{
+    limit_settings limits;
+    read_number(map.optional("connections"), {16, 65'535}, limits.connections);
+    read_number(map.optional("unfinished_kb"), {min_unfinished_kb, 1'048'576},
+                limits.unfinished_kb);
+    read_duration(map.optional("stall_ms"), {1'000, 600'000}, limits.stall);
+    read_duration(map.optional("request_ms"), {1'000, 600'000}, limits.request);
+    map.finish();
+    return limits;
+}
+
 settings read_settings(map_reader map)
 {
     settings read;
@@ -249,6 +263,7 @@
     read.agent =
         read_agent((read.roles.agent ? map.required("agent") : map.optional("agent")).map());
     read.timing = read_timing(map.optional("timing").map());
+    read.limits = read_limits(map.optional("limits").map());
     map.finish();
     return read;
 }
--- a/src/libentry/entry_service.cpp
+++ b/src/libentry/entry_service.cpp
@@ -10,6 +10,7 @@
 
 #include "redwingwheel/digest.h"
 #include "redwingwheel/json_text.h"
+#include "redwingwheel/listener_options.h"
 #include "redwingwheel/packing.h"
 #include "redwingwheel/printable.h"
 #include "request_flow.h"
@@ -120,7 +121,8 @@
     if (!listen_address.ok()) {
         return listen_address.status();
     }
-    http::server_options options;
+    http::server_options options =
+        http::listener_options(this->settings.limits, "entry", this->metrics);
     options.threads = static_cast<int>(this->settings.entry.threads);
     options.max_request_bytes = std::size_t{this->settings.entry.max_body_kb} * 1024;
     this->server = std::make_unique<http::server>(
--- a/src/libhttp/http_server.cpp
+++ b/src/libhttp/http_server.cpp
@@ -5,7 +5,6 @@
 #include <cctype>
 #include <condition_variable>
 #include <mutex>
-#include <set>
 
 #include <fmt/format.h>
 #include <pistache/endpoint.h>
@@ -16,16 +15,23 @@
 #include <spdlog/spdlog.h>
 #include <sys/socket.h>
 
-#include "response_writer.h"
+#include "redwingwheel/descriptor_limit.h"
+#include "server_connections.h"
 
 namespace redwingwheel::http {
 
 namespace {
 
 // Long, because Pistache also closes a connection that waits for a slow response after this time.
+// Its other timeouts have no effect: it never sees an incomplete request.
 constexpr std::chrono::hours keepalive_timeout{1};
-constexpr std::chrono::seconds header_timeout{10};
-constexpr std::chrono::seconds body_timeout{60};
+/// Bytes that wait unread in the receive buffer of a connection count as memory of the process as
+/// well. Takes in a job at once, and 3 MB a second over a round trip of 10 ms.
+constexpr int receive_buffer_bytes = 32 * 1024;
+/// For header fields only; a body is not passed to Pistache's parser.
+constexpr std::size_t max_parsed_bytes = std::size_t{64} * 1024;
+constexpr int status_bad_request = 400;
+constexpr int status_unavailable = 503;
 /// Larger responses are not left to Pistache. A response of this size fits into the send buffer of
 /// a connection on which nothing else waits.
 constexpr std::size_t max_pistache_response_bytes = std::size_t{8} * 1024;
@@ -56,10 +62,20 @@
 /// State shared by the server, its responders and the handler, which Pistache clones per thread.
 struct shared_state {
     explicit shared_state(const server_options& limits, server_handler on_request)
-        : options(limits), handler(std::move(on_request))
+        : options(limits), handler(std::move(on_request)),
+          connections({connections_within(limits.max_connections, limits.descriptor_share),
+                       limits.max_unfinished_bytes, limits.max_stall, limits.max_request_time},
+                      limits.on_limit)
     {
     }
 
+    [[nodiscard]] framing_limits framing() const
+    {
+        framing_limits limits;
+        limits.max_request_bytes = this->options.max_request_bytes;
+        return limits;
+    }
+
     server_options options;
     server_handler handler;
 
@@ -69,8 +85,8 @@
     std::mutex lock;
     std::condition_variable idle;
     bool stopped = false;
-    /// Peer ids of the open connections that have sent input.
-    std::set<std::size_t> connected;
+    /// The open connections, by Pistache's peer id.
+    server_connections connections;
     std::size_t open_requests = 0;
     /// Responses carry "Connection: Close".
     bool closing = false;
@@ -78,24 +94,6 @@
     std::shared_ptr<response_writer_loop> writer_loop = std::make_shared<response_writer_loop>();
 };
 
-/// State of a connection in addition to the one that Pistache keeps.
-struct connection_state {
-    /// A request has no response yet.
-    std::atomic<bool> response_pending{false};
-    /// Further input is dropped; the connection is closed after the pending response.
-    std::atomic<bool> input_closed{false};
-    /// The loop of `writer`, which must not outlive it.
-    std::shared_ptr<response_writer_loop> writer_loop;
-    /// Sends large responses; null until there is one. Guarded by `shared_state::lock`.
-    std::shared_ptr<response_writer> writer;
-};
-
-/// Shuts down the sending side. The client then closes the connection, which frees the descriptor.
-void shut_down_sending(const Pistache::Tcp::Peer& peer)
-{
-    ::shutdown(peer.fd(), SHUT_WR);
-}
-
 /// True when the peer has closed the connection, even if input from before is still unread.
 bool is_closed_by_peer(int descriptor)
 {
@@ -130,8 +128,9 @@
             return false;
         }
         this->responded = true;
+        this->state->connections.answer(this->peer_id, boot_clock::now());
         const bool reachable =
-            !this->state->stopped && this->state->connected.contains(this->peer_id);
+            !this->state->stopped && this->state->connections.contains(this->peer_id);
         const bool is_large = response.body.size() > max_pistache_response_bytes;
         const bool follows_large =
             this->connection->writer != nullptr && !this->connection->writer->idle();
@@ -154,7 +153,7 @@
     {
         // The descriptor is not closed while the lock is held; see onDisconnection.
         const std::lock_guard<std::mutex> guard(this->state->lock);
-        return !this->state->stopped && this->state->connected.contains(this->peer_id) &&
+        return !this->state->stopped && this->state->connections.contains(this->peer_id) &&
                !is_closed_by_peer(this->writer.peer()->fd());
     }
 
@@ -239,23 +238,17 @@
     for (const auto& [name, raw] : source.headers().rawList()) {
         request.headers.emplace(lower_case(raw.name()), raw.value());
     }
-    request.body = source.body();
     request.peer = source.address().host();
     return request;
 }
 
 constexpr const char* connection_data_key = "redwingwheel";
 
-/// Returns the state of a connection; creates it on the first call.
+/// Returns the state that onConnection() has stored.
 std::shared_ptr<connection_state>
 connection_state_of(const std::shared_ptr<Pistache::Tcp::Peer>& peer)
 {
-    std::shared_ptr<void> found = peer->tryGetData(connection_data_key);
-    if (found == nullptr) {
-        found = std::make_shared<connection_state>();
-        peer->putData(connection_data_key, found);
-    }
-    return std::static_pointer_cast<connection_state>(found);
+    return std::static_pointer_cast<connection_state>(peer->getData(connection_data_key));
 }
 
 class pistache_handler : public Pistache::Http::Handler {
@@ -264,75 +257,62 @@
 
     explicit pistache_handler(std::shared_ptr<shared_state> shared) : state(std::move(shared)) {}
 
-    void onRequest(const Pistache::Http::Request& request,
-                   Pistache::Http::ResponseWriter response) override
+    /// Called by Pistache only through its own input handling, which is replaced.
+    void onRequest(const Pistache::Http::Request&, Pistache::Http::ResponseWriter) override {}
+
+    void onConnection(const std::shared_ptr<Pistache::Tcp::Peer>& peer) override
     {
-        const std::shared_ptr<Pistache::Tcp::Peer> peer = response.peer();
-        const std::shared_ptr<connection_state> connection = connection_state_of(peer);
-        {
-            const std::lock_guard<std::mutex> guard(this->state->lock);
-            ++this->state->open_requests;
-        }
-        connection->response_pending = true;
-        const std::shared_ptr<pending_response> pending = std::make_shared<pending_response>(
-            this->state, connection, std::move(response), peer->getID(), wants_keep_alive(request));
-        server_request passed_on = to_server_request(request);
-        passed_on.client_connected = [observed = std::weak_ptr(pending)] {
-            const std::shared_ptr<pending_response> open = observed.lock();
-            return open != nullptr && open->client_connected();
-        };
-        this->state->handler(std::move(passed_on), [pending](const server_response& response_data) {
-            return pending->respond(response_data);
-        });
+        // Pistache looks for the parser's age in each connection.
+        peer->putData(ParserData,
+                      std::make_shared<Pistache::Http::RequestParser>(max_parsed_bytes));
+        ::setsockopt(peer->fd(), SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
+                     sizeof(receive_buffer_bytes));
+        const std::shared_ptr<connection_state> connection =
+            std::make_shared<connection_state>(this->state->framing());
+        peer->putData(connection_data_key, connection);
+        const std::lock_guard<std::mutex> guard(this->state->lock);
+        this->state->connections.open(peer->getID(), peer->fd(), connection, boot_clock::now());
     }
 
-    /// Replaces Pistache's input handling, which has two faults. It responds to a body over the
+    /// Replaces Pistache's input handling, which has several faults. It responds to a body over the
     /// limit once for each piece received, so that the next request on the connection gets a
-    /// response that belongs to an earlier one. It also lets responses to pipelined requests
-    /// overtake each other.
+    /// response that belongs to an earlier one. It lets responses to pipelined requests overtake
+    /// each other. It copies the whole body for each chunk of it.
     void onInput(const char* buffer, size_t size,
                  const std::shared_ptr<Pistache::Tcp::Peer>& peer) override
     {
         const std::shared_ptr<connection_state> connection = connection_state_of(peer);
-        if (connection->input_closed) {
-            return;
-        }
         if (connection->response_pending) {
             connection->input_closed = true;
+        }
+        if (connection->input_closed) {
+            this->drop_input(size, *peer, *connection);
             return;
         }
-        if (!this->register_connection(*peer)) {
-            this->reject(peer, *connection, Pistache::Http::Code::Service_Unavailable,
+        if (connection->no_room) {
+            this->refuse(*peer, status_unavailable,
                          fmt::format("more than {} connections are open",
                                      this->state->options.max_connections));
             return;
         }
-        const std::shared_ptr<Pistache::Http::RequestParser> parser = getParser(peer);
-        try {
-            if (!parser->feed(buffer, size)) {
-                this->reject(peer, *connection, Pistache::Http::Code::Request_Entity_Too_Large,
-                             fmt::format("the request is larger than {} bytes",
-                                         this->state->options.max_request_bytes));
-                return;
-            }
-            if (parser->parse() != Pistache::Http::Private::State::Done) {
-                return;
-            }
-            peer->setIdle(false);
-            parser->request.copyAddress(peer->address());
-            this->onRequest(parser->request,
-                            Pistache::Http::ResponseWriter(parser->request.version(),
-                                                           this->transport(), this, peer));
-            parser->reset();
+        const std::string_view input(buffer, size);
+        framing_state framed{};
+        std::size_t held_bytes = 0;
+        {
+            const std::lock_guard<std::mutex> guard(connection->framer_lock);
+            framed = connection->framer.feed(input);
+            held_bytes = connection->framer.held_bytes();
         }
-        catch (const Pistache::Http::HttpError& error) {
-            this->reject(peer, *connection, static_cast<Pistache::Http::Code>(error.code()),
-                         "the request cannot be read");
+        if (framed == framing_state::refused) {
+            this->state->options.on_limit("unreadable");
+            this->refuse(*peer, connection->framer.status(), connection->framer.reason());
         }
-        catch (const std::exception& error) {
-            spdlog::warn("event=http_request_unreadable error=\"{}\"", error.what());
-            this->reject(peer, *connection, Pistache::Http::Code::Bad_Request,
-                         "the request cannot be read");
+        else if (framed == framing_state::complete) {
+            this->serve(peer, connection);
+        }
+        else {
+            const std::lock_guard<std::mutex> guard(this->state->lock);
+            this->state->connections.receive(peer->getID(), held_bytes, boot_clock::now());
         }
     }
 
@@ -341,7 +321,7 @@
         const std::lock_guard<std::mutex> guard(this->state->lock);
         // Sends the responses queued for this peer before its descriptor can be reused.
         this->transport()->flush();
-        this->state->connected.erase(peer->getID());
+        this->state->connections.remove(peer->getID());
         this->state->idle.notify_all();
     }
 
@@ -355,35 +335,87 @@
         return request.version() == Pistache::Http::Version::Http11;
     }
 
-    /// Adds the connection to the open ones; false when it would exceed max_connections.
-    bool register_connection(const Pistache::Tcp::Peer& peer)
+    /// Passes the complete request of the connection to the handler.
+    void serve(const std::shared_ptr<Pistache::Tcp::Peer>& peer,
+               const std::shared_ptr<connection_state>& connection)
     {
-        const std::lock_guard<std::mutex> guard(this->state->lock);
-        std::set<std::size_t>& connected = this->state->connected;
-        if (!connected.contains(peer.getID()) &&
-            connected.size() >= this->state->options.max_connections) {
-            return false;
+        std::string header;
+        std::string body;
+        {
+            const std::lock_guard<std::mutex> guard(connection->framer_lock);
+            // Another thread may have closed the connection meanwhile.
+            if (connection->input_closed) {
+                return;
+            }
+            connection->input_closed = connection->framer.has_excess();
+            header = connection->framer.take_header();
+            body = connection->framer.take_body();
+            connection->framer = request_framer(this->state->framing());
+        }
+        {
+            const std::lock_guard<std::mutex> guard(this->state->lock);
+            this->state->connections.complete(peer->getID());
+        }
+        const std::shared_ptr<Pistache::Http::RequestParser> parser = getParser(peer);
+        try {
+            if (!parser->feed(header.data(), header.size()) ||
+                parser->parse() != Pistache::Http::Private::State::Done) {
+                this->refuse(*peer, status_bad_request, "the request cannot be read");
+                return;
+            }
+            peer->setIdle(false);
+            parser->request.copyAddress(peer->address());
+            this->pass_on(parser->request, std::move(body), peer, connection);
+            parser->reset();
+        }
+        catch (const Pistache::Http::HttpError& error) {
+            this->refuse(*peer, error.code(), "the request cannot be read");
+        }
+        catch (const std::exception& error) {
+            spdlog::warn("event=http_request_unreadable error=\"{}\"", error.what());
+            this->refuse(*peer, status_bad_request, "the request cannot be read");
         }
-        connected.insert(peer.getID());
-        return true;
     }
 
-    /// Sends an error response and closes the connection.
-    void reject(const std::shared_ptr<Pistache::Tcp::Peer>& peer, connection_state& connection,
-                Pistache::Http::Code code, std::string_view reason)
+    void pass_on(const Pistache::Http::Request& request, std::string body,
+                 const std::shared_ptr<Pistache::Tcp::Peer>& peer,
+                 const std::shared_ptr<connection_state>& connection)
     {
-        spdlog::warn("event=http_request_refused status={} reason=\"{}\"", static_cast<int>(code),
-                     reason);
-        connection.input_closed = true;
-        Pistache::Http::ResponseWriter writer(Pistache::Http::Version::Http11, this->transport(),
-                                              this, peer);
-        writer.headers().add<Pistache::Http::Header::Connection>(
-            Pistache::Http::ConnectionControl::Close);
-        writer
-            .send(code, fmt::format(R"({{"outcome":"not_run","reason":"{}"}})", reason))
-            // Safe here: this runs on the transport's thread, the only one that resolves the
-            // promise.
-            .then([peer](ssize_t) { shut_down_sending(*peer); }, Pistache::Async::NoExcept);
+        {
+            const std::lock_guard<std::mutex> guard(this->state->lock);
+            ++this->state->open_requests;
+        }
+        connection->response_pending = true;
+        const std::shared_ptr<pending_response> pending = std::make_shared<pending_response>(
+            this->state, connection,
+            Pistache::Http::ResponseWriter(request.version(), this->transport(), this, peer),
+            peer->getID(), wants_keep_alive(request));
+        server_request passed_on = to_server_request(request);
+        passed_on.body = std::move(body);
+        passed_on.client_connected = [observed = std::weak_ptr(pending)] {
+            const std::shared_ptr<pending_response> open = observed.lock();
+            return open != nullptr && open->client_connected();
+        };
+        this->state->handler(std::move(passed_on), [pending](const server_response& response_data) {
+            return pending->respond(response_data);
+        });
+    }
+
+    /// A client that sends without end would keep the other connections of this thread waiting.
+    void drop_input(std::size_t size, const Pistache::Tcp::Peer& peer, connection_state& connection)
+    {
+        connection.dropped_bytes += size;
+        if (connection.dropped_bytes > this->state->options.max_request_bytes) {
+            ::shutdown(peer.fd(), SHUT_RDWR);
+        }
+        const std::lock_guard<std::mutex> guard(this->state->lock);
+        this->state->connections.expire(boot_clock::now());
+    }
+
+    void refuse(const Pistache::Tcp::Peer& peer, int status, std::string_view reason)
+    {
+        const std::lock_guard<std::mutex> guard(this->state->lock);
+        this->state->connections.refuse(peer.getID(), status, reason, boot_clock::now());
     }
 
     std::shared_ptr<shared_state> state;
@@ -422,8 +454,6 @@
         options.threads(this->impl->state->options.threads)
             .maxRequestSize(this->impl->state->options.max_request_bytes)
             .flags(Pistache::Tcp::Options::ReuseAddr | Pistache::Tcp::Options::NoDelay)
-            .headerTimeout(header_timeout)
-            .bodyTimeout(body_timeout)
             .keepaliveTimeout(keepalive_timeout);
         this->impl->endpoint->init(options);
         this->impl->endpoint->setHandler(std::make_shared<pistache_handler>(this->impl->state));
@@ -454,7 +484,7 @@
     steady_time disconnect_deadline = boot_clock::now() + disconnect_timeout;
     while (boot_clock::now() < deadline &&
            (state.open_requests > 0 ||
-            (!state.connected.empty() && boot_clock::now() < disconnect_deadline))) {
+            (!state.connections.empty() && boot_clock::now() < disconnect_deadline))) {
         if (state.open_requests > 0) {
             disconnect_deadline = boot_clock::now() + disconnect_timeout;
         }
--- a/src/libhttp/http_test.cpp
+++ b/src/libhttp/http_test.cpp
@@ -503,3 +503,22 @@
     server.stop();
     CHECK_FALSE(request.client_connected());
 }
+
+// Failure: a body within the limit is refused, or takes quadratic time, because its chunks are
+// small.
+TEST_CASE("a body in chunks of one byte is served", "[http][limits]")
+{
+    delaying_server test;
+    std::string request = "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string body(60 * 1024, 'b');
+    for (const char each : body) {
+        request += fmt::format("1\r\n{}\r\n", each);
+    }
+    asio::io_context context;
+    tcp::socket raw(context);
+    raw.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), test.address.port));
+    asio::write(raw, asio::buffer(request + "0\r\n\r\n"));
+    std::string received;
+    asio::read_until(raw, asio::dynamic_buffer(received), "/x" + body);
+    CHECK(received.find(" 200 ") != std::string::npos);
+}
--- a/src/libwire/connection.cpp
+++ b/src/libwire/connection.cpp
@@ -102,7 +102,8 @@
                              return;
                          }
                          const absl::StatusOr<std::size_t> payload_bytes = decode_header(
-                             std::string_view(self->header.data(), self->header.size()));
+                             std::string_view(self->header.data(), self->header.size()),
+                             self->max_received_bytes);
                          if (!payload_bytes.ok()) {
                              spdlog::warn("event=frame_refused error=\"{}\"",
                                           errors::message_of(payload_bytes.status()));
--- a/src/libwire/connection.h
+++ b/src/libwire/connection.h
@@ -49,6 +49,9 @@
     /// closes.
     void open(event_handlers new_handlers);
 
+    /// Closes the connection on frames with a larger length field from now on.
+    void set_max_frame_bytes(std::size_t bytes) { this->max_received_bytes = bytes; }
+
     /// Queues a frame. Errors: bad_frame when it is over the size limit, not_sent when the
     /// connection is not open.
     absl::Status send(const frame& outgoing);
@@ -84,6 +87,7 @@
     steady_time probe_deadline;
     steady_time receive_deadline;
     redwingwheel::boot_timer timer;
+    std::size_t max_received_bytes = max_frame_bytes;
     std::array<char, frame_header_bytes> header{};
     std::string payload;
     std::deque<outgoing_frame> queue;
--- a/src/libwire/frame.cpp
+++ b/src/libwire/frame.cpp
@@ -65,7 +65,7 @@
     return bytes;
 }
 
-absl::StatusOr<std::size_t> decode_header(std::string_view header)
+absl::StatusOr<std::size_t> decode_header(std::string_view header, std::size_t max_bytes)
 {
     if (header.size() != frame_header_bytes) {
         return make_error(wire_errc::bad_frame, "frame header is truncated");
@@ -74,10 +74,10 @@
     for (std::size_t index = 0; index < 4; ++index) {
         size = (size << 8) | static_cast<unsigned char>(header[index]);
     }
-    if (size < 1 || size > max_frame_bytes) {
+    if (size < 1 || size > max_bytes) {
         return make_error(
             wire_errc::bad_frame,
-            fmt::format("frame length is {} bytes, expected 1 to {}", size, max_frame_bytes));
+            fmt::format("frame length is {} bytes, expected 1 to {}", size, max_bytes));
     }
     const std::uint8_t version = static_cast<std::uint8_t>(header[4]);
     if (version != protocol_version) {
--- a/src/libwire/rpc_server.cpp
+++ b/src/libwire/rpc_server.cpp
@@ -1,3 +1,4 @@
+#include <deque>
 #include <future>
 #include <set>
 
@@ -7,6 +8,7 @@
 #include <spdlog/spdlog.h>
 
 #include "connection.h"
+#include "redwingwheel/descriptor_limit.h"
 #include "redwingwheel/digest.h"
 #include "redwingwheel/packing.h"
 
@@ -15,12 +17,21 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+namespace {
+
+/// Share of the descriptors of the process that connections from other processes may take.
+constexpr double descriptor_share = 0.25;
+
+} // namespace
+
 struct rpc_server::implementation : std::enable_shared_from_this<implementation> {
     implementation(kernel::traffic_loop& loop, std::string_view shared_secret,
                    const rpc_options& limits, request_handler on_request)
         : context(loop.context()), acceptor(loop.context()), secret(shared_secret), options(limits),
           handler(std::move(on_request))
     {
+        this->options.max_connections =
+            connections_within(limits.max_connections, descriptor_share);
     }
 
     /// A connection from a client.
@@ -31,6 +42,7 @@
     };
 
     void accept();
+    bool make_room();
     void start_session(tcp::socket accepted);
     void on_frame(const std::shared_ptr<session>& from, frame received);
     void authenticate(session& from, const frame& received);
@@ -44,6 +56,8 @@
     request_handler handler;
     rpc_counters counters;
     std::set<std::shared_ptr<session>> sessions;
+    /// Connections that have not been authenticated, the oldest first.
+    std::deque<std::weak_ptr<session>> unauthenticated;
 };
 
 void rpc_server::implementation::accept()
@@ -54,20 +68,45 @@
             if (!self->acceptor.is_open()) {
                 return;
             }
-            if (!error && self->sessions.size() < self->options.max_connections) {
+            if (!error && self->make_room()) {
                 self->start_session(std::move(accepted));
             }
             self->accept();
         });
 }
 
+/// Closes the oldest connection that is not authenticated when there are too many, so that clients
+/// without the secret cannot keep the processes of the deployment out.
+bool rpc_server::implementation::make_room()
+{
+    if (this->sessions.size() < this->options.max_connections) {
+        return true;
+    }
+    while (!this->unauthenticated.empty()) {
+        const std::shared_ptr<session> oldest = this->unauthenticated.front().lock();
+        this->unauthenticated.pop_front();
+        if (oldest != nullptr && oldest->link->is_open() && !oldest->authenticated) {
+            ++this->counters.refused_unauthenticated;
+            oldest->link->close(connection::close_reason::requested);
+            return true;
+        }
+    }
+    return false;
+}
+
 void rpc_server::implementation::start_session(tcp::socket accepted)
 {
     ++this->counters.accepted;
     const std::shared_ptr<session> new_session = std::make_shared<session>();
     new_session->link =
         std::make_shared<connection>(std::move(accepted), this->options, this->counters);
+    new_session->link->set_max_frame_bytes(max_handshake_bytes);
     this->sessions.insert(new_session);
+    std::erase_if(this->unauthenticated, [](const std::weak_ptr<session>& each) {
+        const std::shared_ptr<session> earlier = each.lock();
+        return earlier == nullptr || earlier->authenticated || !earlier->link->is_open();
+    });
+    this->unauthenticated.push_back(new_session);
     const std::shared_ptr<implementation> self = this->shared_from_this();
     connection::event_handlers handlers;
     handlers.received = [self, new_session](frame received) {
@@ -110,6 +149,7 @@
         return;
     }
     from.authenticated = true;
+    from.link->set_max_frame_bytes(max_frame_bytes);
     const std::string proof = handshake_proof(this->secret, "server", body.substr(proof_digits));
     from.link->send({frame_type::server_proof, 0, 0, 0, proof}).IgnoreError();
 }
--- a/src/redwingwheeld/daemon.cpp
+++ b/src/redwingwheeld/daemon.cpp
@@ -42,8 +42,7 @@
         this->add_cluster_services(secret);
     }
     if (!this->settings.metrics.listen.empty()) {
-        this->services.add(
-            std::make_unique<metrics_page>(this->settings.metrics.listen, this->metrics));
+        this->services.add(std::make_unique<metrics_page>(this->settings, this->metrics));
     }
 }
 
--- a/src/redwingwheeld/metrics_page.cpp
+++ b/src/redwingwheeld/metrics_page.cpp
@@ -1,21 +1,12 @@
 #include "metrics_page.h"
 
-namespace redwingwheel::daemon {
-
-namespace {
-
-http::server_options single_threaded_options()
-{
-    http::server_options options;
-    options.threads = 1;
-    return options;
-}
+#include "redwingwheel/listener_options.h"
 
-} // namespace
+namespace redwingwheel::daemon {
 
-metrics_page::metrics_page(std::string address, const metrics::registry& registry)
-    : listen(std::move(address)),
-      server(single_threaded_options(),
+metrics_page::metrics_page(const config::settings& settings, metrics::registry& registry)
+    : listen(settings.metrics.listen),
+      server(http::small_listener_options(settings.limits, "metrics", registry),
              [&registry](const http::server_request& request, const http::responder& respond) {
                  http::server_response response;
                  response.content_type = "text/plain; version=0.0.4";
