--- a/src/include/redwingwheel/job_state.h
+++ b/src/include/redwingwheel/job_state.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "redwingwheel/duration_model.h"
 #include "redwingwheel/errors.h"
 #include "redwingwheel/job_model.h"
 
@@ -75,7 +76,10 @@
     /// Long-running tasks stay open when a run ends as done. False in log entries of earlier
     /// versions, which every replica applies as they were applied then.
     bool restart_long_running = false;
-    MSGPACK_DEFINE(worker, ended_runs, now_unix_ms, restart_long_running)
+    /// For each of `ended_runs` the time since its assignment; 0: unknown. Shorter, or empty, in
+    /// log entries of earlier versions.
+    std::vector<std::int64_t> run_times_ms = {};
+    MSGPACK_DEFINE(worker, ended_runs, now_unix_ms, restart_long_running, run_times_ms)
 };
 
 struct released_run {
@@ -239,6 +243,8 @@
     {
         return this->replicated.jobs;
     }
+    /// What is known from ended runs about how long runs take.
+    [[nodiscard]] const duration_model& durations() const { return this->replicated.durations; }
     [[nodiscard]] const job_record* find(const std::string& id) const;
     [[nodiscard]] const task_record* find(const task_id& id) const;
     /// Runs that are assigned to `worker` and have not ended.
@@ -280,8 +286,9 @@
         /// Unix times in milliseconds at which ids were withdrawn, by account and id.
         std::map<std::string, std::map<std::string, std::int64_t>> withdrawn_ids;
         std::map<std::string, std::uint64_t> evacuation_revisions; ///< By data centre.
+        duration_model durations;
         MSGPACK_DEFINE(configuration, evacuated, jobs, last_recorded_ends, last_superseded_ends,
-                       withdrawn_ids, evacuation_revisions)
+                       withdrawn_ids, evacuation_revisions, durations)
     };
 
     command_result apply_command(const install_configuration& command);
@@ -299,6 +306,8 @@
     [[nodiscard]] bool can_assign(const assignment& each) const;
     static void remember_released(job_record& job, const run_id& run);
     [[nodiscard]] bool is_superseded(const ended_run& end) const;
+    /// Learns from a run that is about to be recorded as ended.
+    void learn_run_time(const ended_run& end, std::int64_t run_time_ms);
     void record_end(const ended_run& end, const record_ended_runs& command);
     static void store_checkpoint(const step_definition& definition, step_record& step,
                                  const run_id& run, const std::string& checkpoint, bool from_stop);
@@ -337,6 +346,9 @@
 /// True when the crashes of the task's workers exceed the limit: it is not started again.
 [[nodiscard]] bool has_crashed_too_often(const step_definition& step, const task_record& task);
 
+/// When an occurrence of the job is due, in Unix milliseconds.
+[[nodiscard]] std::int64_t due_unix_ms(const job_record& job, std::uint32_t occurrence);
+
 /// True when all tasks of the steps before `step` are done.
 [[nodiscard]] bool is_ready(const job_definition& definition, const occurrence_record& occurrence,
                             std::uint32_t step);
--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "redwingwheel/clock.h"
-#include "redwingwheel/duration_history.h"
 #include "redwingwheel/job_state.h"
+#include "redwingwheel/worker_trust.h"
 
 /// Scheduling decisions of the leader: which run is assigned to which worker, which runs are
 /// evicted in favour of others, and which runs are released because their worker is lost.
@@ -49,11 +49,10 @@
     /// Added to the permit lifetime before the runs of a worker are released. Covers clock drift
     /// between machines and the delay between the supervisor's reading of its clock and the permit.
     milliseconds permit_margin{300};
-    /// Time for which a worker is suspect after repeated failures. Doubles with each further
-    /// consecutive failure.
+    /// Time for which a worker is suspect after repeated failures.
     milliseconds suspect_duration{4000};
-    /// A run that is listed without progress for this long is stopped and restarted. Workers report
-    /// progress in whole percent, and the slowest healthy run takes a third of a second for one.
+    /// A run that is listed without progress for this long is stopped and restarted, or for the
+    /// time that several percent of its expected duration take, if that is longer.
     milliseconds stall_timeout{2500};
     /// A run on a draining worker is moved when it is expected to end more than this after the time
     /// for which the worker still works.
@@ -93,6 +92,11 @@
     /// keeps ending at once costs no more than a start every few seconds.
     milliseconds restart_delay{500};
     milliseconds max_restart_delay{4000};
+    /// Largest share of the accelerators that ordinary work leaves to urgent work; 0: none.
+    double urgent_headroom = 0.0;
+    /// Time from the decision to stop a run until another one has started in its place: a round
+    /// trip to the supervisor, the run's grace period and the next start.
+    milliseconds eviction_time{2000};
 };
 
 /// A run that is stopped, for the log.
@@ -138,13 +142,18 @@
     ordinary,   ///< Any other priority.
 };
 
+class urgent_headroom;
 struct placement_request;
 struct worker_availability;
+enum class pace_preference : std::uint8_t;
 
 /// Scheduler of the leader. Its volatile state is rebuilt from the workers' reports.
 class scheduler {
 public:
     scheduler(const scheduler_options& options, clock_function clock, const job_state& state);
+    ~scheduler();
+    scheduler(const scheduler&) = delete;
+    scheduler& operator=(const scheduler&) = delete;
 
     /// Clears the volatile state. Permits of an earlier leader may last until `permit_lifetime`
     /// from now.
@@ -178,6 +187,10 @@
     /// crash its worker as soon as it was started.
     [[nodiscard]] bool has_progressed(const run_id& run) const;
 
+    /// Time from the assignment of the run until now, in milliseconds; 0 when another leader has
+    /// assigned it.
+    [[nodiscard]] std::int64_t run_time_ms(const run_id& run) const;
+
     /// Records that the worker refused the start of the run, which will not be ordered again. The
     /// worker gets no new runs for a short time.
     void record_refused_start(const worker_incarnation& worker, const run_id& run);
@@ -215,13 +228,13 @@
         /// When the last poll of its supervisor was answered; empty once the next poll has arrived.
         std::optional<steady_time> poll_answered_at;
         bool ended = false;
-        steady_time suspect_until;
         steady_time excluded_until;
-        std::uint32_t consecutive_failures = 0;
+        worker_trust trust;
     };
     struct tracked_run {
         /// When it was assigned, or first listed if another leader had assigned it.
         steady_time started_at;
+        bool assigned_here = false; ///< `started_at` is when it was assigned.
         steady_time last_listed;
         steady_time last_progress;
         std::uint32_t percent = 0;
@@ -241,6 +254,14 @@
         std::vector<worker_incarnation> workers;
         resources per_task;
         urgency urgency_class = urgency::ordinary;
+        /// When the last run in its way is expected to have ended.
+        steady_time usable_at;
+    };
+    /// Victims of a lower rank are taken first.
+    enum class victim_rank : std::uint8_t {
+        batch,        ///< Of a priority above 0.
+        long_running, ///< Runs until its job is cancelled; loses no work, but is missed.
+        urgent,       ///< Priority 0, beyond the guarantee of its account.
     };
     /// A run, or all runs of a gang, which are evicted together.
     struct victim {
@@ -249,7 +270,10 @@
         resources freed_per_task;
         double cost = 0.0;                  ///< Core-seconds of work that would be lost.
         double expected_remaining_ms = 0.0; ///< Until the last run is expected to end.
-        bool ends_soon = false;             ///< Not stopped, since it is expected to end soon.
+        /// The same, but a run without measured progress may be as far as its age says.
+        double earliest_end_ms = 0.0;
+        victim_rank rank = victim_rank::batch;
+        bool ends_soon = false; ///< Not stopped, since it is expected to end soon.
     };
     /// Runs on a worker, as far as they matter for the isolation of suspected tasks.
     struct worker_jobs {
@@ -269,7 +293,6 @@
     struct active_reservation;
     struct scheduling_round;
 
-    void record_duration(const run_id& run);
     void update_due_times(const scheduling_round& round);
     void update_waiting_since(const scheduling_round& round,
                               const std::vector<pending_step>& waiting);
@@ -283,7 +306,6 @@
     void count_stall_as_failure(const scheduling_round& round, const run_id& run);
     [[nodiscard]] bool has_progressed_since(const worker_incarnation& worker,
                                             const run_id& stalled) const;
-    void update_suspicion(steady_time now, tracked_worker& worker) const;
     void pace_restart(const ended_run& end);
     /// True while a restart of the task must wait.
     [[nodiscard]] bool is_paced(const task_id& task, steady_time now) const;
@@ -291,8 +313,19 @@
     void stop_incomplete_gangs(scheduling_round& round);
     void move_runs_off_draining_workers(scheduling_round& round);
     void evict(scheduling_round& round, const run_id& run, const std::string& reason);
-    /// The declared duration of the step, corrected by the duration history of the queue.
+    /// Chooses the workers that ordinary steps leave to urgent ones.
+    void keep_headroom(scheduling_round& round, const std::vector<pending_step>& waiting);
+    /// True when the objective of the job leaves no time to stop other runs for it.
+    [[nodiscard]] bool needs_headroom(const job_record& job, const step_definition& step) const;
+    /// Excludes the headroom for an ordinary step that can wait and fits elsewhere.
+    void apply_headroom(scheduling_round& round, const pending_step& pending,
+                        const placement_request& request) const;
+    /// The expected duration of a task of the step on a worker of ordinary speed.
+    [[nodiscard]] duration_prediction predicted(const job_record& job,
+                                                const step_definition& step) const;
     [[nodiscard]] double predicted_ms(const job_record& job, const step_definition& step) const;
+    /// Time without progress after which a run on the host has stalled.
+    [[nodiscard]] milliseconds stall_timeout(const run_id& run, const std::string& host) const;
     [[nodiscard]] std::int64_t critical_path_ms(const job_record& job) const;
     /// Remaining duration of the run, extrapolated from its listed progress. Negative when the run
     /// should have ended already; empty while there is too little progress.
@@ -311,6 +344,8 @@
     [[nodiscard]] std::optional<resources> occupied_resources(const worker_incarnation& incarnation,
                                                               const tracked_worker& worker) const;
     void compute_available_resources(scheduling_round& round) const;
+    [[nodiscard]] std::size_t runs_on_trial(const worker_incarnation& worker,
+                                            const worker_trust& trust) const;
     [[nodiscard]] std::vector<pending_step> pending_steps(const scheduling_round& round) const;
     [[nodiscard]] std::set<std::string> guaranteed_jobs() const;
     [[nodiscard]] bool is_silent(const scheduling_round& round, const tracked_worker& worker) const;
@@ -339,22 +374,33 @@
     [[nodiscard]] bool has_reservation(const scheduling_round& round,
                                        const pending_step& pending) const;
     void make_reservation(scheduling_round& round, const pending_step& pending,
-                          const eviction_plan& plan);
+                          const eviction_plan& plan, steady_time usable_at);
     void drop_reservation(scheduling_round& round, const task_id& owner);
     void collect_active_reservations(scheduling_round& round) const;
     /// Subtracts the resources that are reserved for other steps of the same or a higher urgency
-    /// from those available to `pending`.
-    static void subtract_reservations(scheduling_round& round, const pending_step& pending);
+    /// from those available to `pending`, unless it is expected to end before they are needed.
+    void subtract_reservations(scheduling_round& round, const pending_step& pending) const;
     /// Reverts `subtract_reservations`.
-    static void restore_reservations(scheduling_round& round, const pending_step& pending);
-    static void for_each_competing_reservation(
+    void restore_reservations(scheduling_round& round, const pending_step& pending) const;
+    void for_each_competing_reservation(
         scheduling_round& round, const pending_step& pending,
-        const std::function<void(worker_availability& worker, const resources& per_task)>&);
-    /// Runs of jobs whose priority number is above `protected_priority`, or all if it is empty, and
-    /// runs that are about to end. Cheapest first per freed resources.
-    [[nodiscard]] std::vector<victim>
-    find_victims(const scheduling_round& round,
-                 std::optional<std::uint32_t> protected_priority) const;
+        const std::function<void(worker_availability& worker, const resources& per_task)>&) const;
+    /// When the pending tasks are expected to have ended if they are started now.
+    [[nodiscard]] steady_time expected_end(const scheduling_round& round,
+                                           const pending_step& pending) const;
+    [[nodiscard]] pace_preference preferred_pace(const scheduling_round& round,
+                                                 const pending_step& pending) const;
+    /// All runs that end by themselves, as candidates for a reservation. Cheapest first per freed
+    /// resources.
+    [[nodiscard]] std::vector<victim> find_ending_runs(const scheduling_round& round) const;
+    /// The runs that may be stopped for the step, and those that are about to end, of any priority.
+    /// By rank, then cheapest first per freed resources.
+    [[nodiscard]] std::vector<victim> find_victims(const scheduling_round& round,
+                                                   const pending_step& pending) const;
+    [[nodiscard]] std::vector<victim> group_runs(const scheduling_round& round,
+                                                 bool with_long_running) const;
+    /// Number of long-running tasks of the step that may be stopped now.
+    [[nodiscard]] std::size_t disruptions_left(const task_id& step) const;
     [[nodiscard]] static std::optional<eviction_plan>
     plan_eviction(const scheduling_round& round, const placement_request& request,
                   const std::vector<victim>& candidates);
@@ -384,9 +430,8 @@
     std::map<task_id, std::uint32_t> progressed_runs;
     /// When each pending step was first excluded from a worker for isolation.
     std::map<isolation_key, steady_time> isolation_since;
-    /// By name of the queue.
-    std::map<std::string, duration_history> durations;
     steady_time leading_since;
+    std::unique_ptr<urgent_headroom> headroom;
 };
 
 } // namespace redwingwheel::jobs
--- a/src/include/redwingwheel/settings.h
+++ b/src/include/redwingwheel/settings.h
@@ -96,6 +96,11 @@
     milliseconds request{60'000};       ///< Longest time for a request to arrive.
 };
 
+/// Decisions of the leader that a deployment can ask for.
+struct scheduling_settings {
+    std::uint32_t urgent_headroom_percent = 0; ///< Accelerators left to urgent jobs at most.
+};
+
 struct metrics_settings {
     std::string listen; ///< IP:port of the metrics page; empty: none.
 };
@@ -117,6 +122,7 @@
     supervisor_settings supervisor;
     metrics_settings metrics;
     limit_settings limits;
+    scheduling_settings scheduling;
 };
 
 /// Reads and checks settings. `file_name` is used in messages only. Sections of roles that the
--- a/src/libconfig/documents_test.cpp
+++ b/src/libconfig/documents_test.cpp
@@ -180,7 +180,7 @@
     std::set<std::string> known;
     for (const char* const section :
          {"", "log.", "control.", "entry.", "agent.", "timing.", "entry.operators[].", "cluster.",
-          "gateway.", "supervisor.", "metrics.", "limits."}) {
+          "gateway.", "supervisor.", "metrics.", "limits.", "scheduling."}) {
         const std::string path = fmt::format("{}zz", section);
         const std::string allowed = problem_at(problems_with(with_value(path, "1")), path).allowed;
         REQUIRE(allowed.substr(0, 7) == "one of ");
@@ -191,7 +191,7 @@
         }
     }
     for (const char* const section : {"log", "control", "entry", "agent", "timing", "cluster",
-                                      "gateway", "supervisor", "metrics", "limits"}) {
+                                      "gateway", "supervisor", "metrics", "limits", "scheduling"}) {
         REQUIRE(known.erase(section) == 1);
     }
     REQUIRE(documented == known);
@@ -209,6 +209,8 @@
         {"cluster.founding", "false"},
         {"cluster.tolerated_losses",
          fmt::format("{}", config::cluster_settings().tolerated_losses)},
+        {"scheduling.urgent_headroom_percent",
+         fmt::format("{}", config::scheduling_settings().urgent_headroom_percent)},
         {"limits.connections", fmt::format("{}", config::limit_settings().connections)},
         {"limits.unfinished_kb", fmt::format("{}", config::limit_settings().unfinished_kb)},
         {"limits.stall_ms", fmt::format("{}", config::limit_settings().stall.count())},
--- a/src/libconfig/settings.cpp
+++ b/src/libconfig/settings.cpp
@@ -226,6 +226,15 @@
     return limits;
 }
 
+scheduling_settings read_scheduling(map_reader map)
+{
+    scheduling_settings scheduling;
+    read_number(map.optional("urgent_headroom_percent"), {0, 50},
+                scheduling.urgent_headroom_percent);
+    map.finish();
+    return scheduling;
+}
+
 settings read_settings(map_reader map)
 {
     settings read;
@@ -263,6 +272,7 @@
     read.agent =
         read_agent((read.roles.agent ? map.required("agent") : map.optional("agent")).map());
     read.timing = read_timing(map.optional("timing").map());
+    read.scheduling = read_scheduling(map.optional("scheduling").map());
     read.limits = read_limits(map.optional("limits").map());
     map.finish();
     return read;
--- a/src/libjobs/job_state.cpp
+++ b/src/libjobs/job_state.cpp
@@ -36,14 +36,6 @@
                        [](const step_record& step) { return step.assigned == 0; });
 }
 
-std::int64_t due_time(const job_record& job, std::uint32_t occurrence)
-{
-    if (job.definition.occurrences == 0) {
-        return job.submitted_unix_ms;
-    }
-    return job.definition.first_due_unix_ms + occurrence * job.definition.interval_ms;
-}
-
 } // namespace
 
 bool is_well_formed(const job_definition& definition)
@@ -220,7 +212,8 @@
 command_result job_state::apply_command(const record_ended_runs& command)
 {
     std::uint64_t& recorded = this->replicated.last_recorded_ends[command.worker];
-    for (const ended_run& end : command.ended_runs) {
+    for (std::size_t each = 0; each < command.ended_runs.size(); ++each) {
+        const ended_run& end = command.ended_runs[each];
         if (end.number <= recorded) {
             continue;
         }
@@ -228,6 +221,9 @@
         if (this->is_superseded(end)) {
             this->replicated.last_superseded_ends[command.worker] = end.number;
         }
+        if (each < command.run_times_ms.size()) {
+            this->learn_run_time(end, command.run_times_ms[each]);
+        }
         this->record_end(end, command);
         const auto job = this->replicated.jobs.find(end.run.task.job);
         if (job != this->replicated.jobs.end()) {
@@ -434,10 +430,10 @@
 void job_state::begin_occurrences(job_record& job, std::int64_t now_unix_ms)
 {
     while (!job.ended() && job.begun_occurrences < job.occurrence_count() &&
-           due_time(job, job.begun_occurrences) <= now_unix_ms) {
+           due_unix_ms(job, job.begun_occurrences) <= now_unix_ms) {
         job.open_occurrences.emplace(
             job.begun_occurrences,
-            make_occurrence(job.definition, due_time(job, job.begun_occurrences)));
+            make_occurrence(job.definition, due_unix_ms(job, job.begun_occurrences)));
         ++job.begun_occurrences;
     }
 }
@@ -476,102 +472,4 @@
     return absl::OkStatus();
 }
 
-std::uint64_t job_state::evacuation_revision(const std::string& data_centre) const
-{
-    const auto found = this->replicated.evacuation_revisions.find(data_centre);
-    return found == this->replicated.evacuation_revisions.end() ? 0 : found->second;
-}
-
-const job_record* job_state::find(const std::string& id) const
-{
-    const auto found = this->replicated.jobs.find(id);
-    return found == this->replicated.jobs.end() ? nullptr : &found->second;
-}
-
-const task_record* job_state::find(const task_id& id) const
-{
-    const job_record* const job = this->find(id.job);
-    if (job == nullptr) {
-        return nullptr;
-    }
-    const auto occurrence = job->open_occurrences.find(id.occurrence);
-    if (occurrence == job->open_occurrences.end() || id.step >= occurrence->second.steps.size() ||
-        id.index >= occurrence->second.steps[id.step].tasks.size()) {
-        return nullptr;
-    }
-    return &occurrence->second.steps[id.step].tasks[id.index];
-}
-
-const std::set<run_id>& job_state::runs_on(const worker_incarnation& worker) const
-{
-    static const std::set<run_id> none;
-    const auto found = this->runs_by_worker.find(worker);
-    return found == this->runs_by_worker.end() ? none : found->second;
-}
-
-std::uint64_t job_state::last_recorded_end(const worker_incarnation& worker) const
-{
-    const auto found = this->replicated.last_recorded_ends.find(worker);
-    return found == this->replicated.last_recorded_ends.end() ? 0 : found->second;
-}
-
-std::uint64_t job_state::last_superseded_end(const worker_incarnation& worker) const
-{
-    const auto found = this->replicated.last_superseded_ends.find(worker);
-    return found == this->replicated.last_superseded_ends.end() ? 0 : found->second;
-}
-
-bool job_state::has_superseded_end(const worker_incarnation& worker,
-                                   std::span<const ended_run> ended_runs) const
-{
-    const std::uint64_t recorded = this->last_recorded_end(worker);
-    const std::uint64_t superseded = this->last_superseded_end(worker);
-    return std::any_of(ended_runs.begin(), ended_runs.end(), [&](const ended_run& each) {
-        return each.number <= recorded ? each.number <= superseded : this->is_superseded(each);
-    });
-}
-
-const queue_definition* job_state::find_queue(std::string_view host, std::string_view path) const
-{
-    const queue_definition* best = nullptr;
-    for (const queue_definition& queue : this->replicated.configuration.queues) {
-        if (queue.host == host && path.starts_with(queue.path_prefix) &&
-            (best == nullptr || queue.path_prefix.size() > best->path_prefix.size())) {
-            best = &queue;
-        }
-    }
-    return best;
-}
-
-const account_definition* job_state::find_account(std::string_view key) const
-{
-    if (key.empty()) {
-        return nullptr;
-    }
-    for (const account_definition& account : this->replicated.configuration.accounts) {
-        if (std::find(account.keys.begin(), account.keys.end(), key) != account.keys.end()) {
-            return &account;
-        }
-    }
-    return nullptr;
-}
-
-std::uint64_t job_state::count_pending_jobs(std::string_view queue) const
-{
-    return static_cast<std::uint64_t>(std::count_if(
-        this->replicated.jobs.begin(), this->replicated.jobs.end(), [queue](const auto& entry) {
-            return entry.second.queue == queue && entry.second.status == job_status::queued;
-        }));
-}
-
-bool job_state::occurrence_due(std::int64_t now_unix_ms) const
-{
-    return std::any_of(this->replicated.jobs.begin(), this->replicated.jobs.end(),
-                       [now_unix_ms](const auto& entry) {
-                           const job_record& job = entry.second;
-                           return !job.ended() && job.begun_occurrences < job.occurrence_count() &&
-                                  due_time(job, job.begun_occurrences) <= now_unix_ms;
-                       });
-}
-
 } // namespace redwingwheel::jobs
--- a/src/libjobs/placement_search.cpp
+++ b/src/libjobs/placement_search.cpp
@@ -1,8 +1,10 @@
 #include "placement_search.h"
 
+#include <cmath>
 #include <limits>
 #include <numeric>
 #include <set>
+#include <tuple>
 
 namespace redwingwheel::jobs {
 
@@ -40,31 +42,43 @@
                                        : 0;
         count = std::min<std::int64_t>(count, left);
     }
+    if (worker.max_new_tasks.has_value()) {
+        count = std::min<std::int64_t>(count, *worker.max_new_tasks);
+    }
     return static_cast<std::uint32_t>(count);
 }
 
-/// Best-fit placement: fills one worker after the other, healthy workers before suspect ones and
-/// those with the fewest available resources first, so that whole workers stay free for large
-/// tasks.
-std::vector<std::size_t> fill_workers(const step_definition& step, std::uint32_t tasks,
+/// Best-fit placement: fills one worker after the other, healthy workers before suspect ones, then
+/// those of the preferred pace, and those with the fewest available resources first, so that whole
+/// workers stay free for large tasks.
+std::vector<std::size_t> fill_workers(const placement_request& request, std::uint32_t tasks,
                                       std::span<const worker_availability> workers,
                                       const std::vector<std::size_t>& candidates)
 {
     std::vector<std::size_t> order = candidates;
-    std::stable_sort(order.begin(), order.end(), [workers](std::size_t left, std::size_t right) {
-        const worker_availability& a = workers[left];
-        const worker_availability& b = workers[right];
-        if (a.suspect != b.suspect) {
-            return b.suspect;
-        }
-        if (a.available.accelerators != b.available.accelerators) {
-            return a.available.accelerators < b.available.accelerators;
-        }
-        return a.available.cpu_millis < b.available.cpu_millis;
-    });
+    const bool headroom_first = request.prefer_headroom;
+    const int sign = request.pace == pace_preference::fast ? 1 : -1;
+    std::stable_sort(order.begin(), order.end(),
+                     [workers, sign, headroom_first](std::size_t left, std::size_t right) {
+                         const worker_availability& a = workers[left];
+                         const worker_availability& b = workers[right];
+                         if (a.suspect != b.suspect) {
+                             return b.suspect;
+                         }
+                         if (headroom_first && a.in_headroom != b.in_headroom) {
+                             return a.in_headroom;
+                         }
+                         if (a.pace_class != b.pace_class) {
+                             return sign * a.pace_class < sign * b.pace_class;
+                         }
+                         if (a.available.accelerators != b.available.accelerators) {
+                             return a.available.accelerators < b.available.accelerators;
+                         }
+                         return a.available.cpu_millis < b.available.cpu_millis;
+                     });
     std::vector<std::size_t> worker_indices;
     for (const std::size_t each : order) {
-        std::uint32_t fitting = tasks_that_fit(step, workers[each]);
+        std::uint32_t fitting = tasks_that_fit(*request.step, workers[each]);
         while (fitting > 0 && worker_indices.size() < tasks) {
             worker_indices.push_back(each);
             --fitting;
@@ -103,8 +117,19 @@
                       [workers](std::size_t each) { return workers[each].suspect; }));
 }
 
-/// Places the whole gang in the rack with the fewest free accelerators. Avoids suspect workers and
-/// racks without the step's data.
+/// A gang is as slow as its slowest member.
+int slowest_pace(std::span<const worker_availability> workers,
+                 const std::vector<std::size_t>& worker_indices)
+{
+    int slowest = std::numeric_limits<int>::min();
+    for (const std::size_t each : worker_indices) {
+        slowest = std::max(slowest, workers[each].pace_class);
+    }
+    return slowest;
+}
+
+/// Places the whole gang in the rack with the fastest workers, then the fewest free accelerators.
+/// Avoids suspect workers and racks without the step's data.
 std::vector<std::size_t> fill_one_rack(const placement_request& request,
                                        std::span<const worker_availability> workers)
 {
@@ -113,18 +138,21 @@
         racks.insert(each.rack);
     }
     std::vector<std::size_t> best;
-    std::pair<std::size_t, std::int64_t> best_score;
+    std::tuple<std::size_t, int, std::int64_t> best_score;
     for (const std::string& rack : racks) {
         const std::vector<std::size_t> candidates = eligible_workers(workers, &rack);
         std::vector<std::size_t> worker_indices =
-            fill_workers(*request.step, request.tasks, workers, candidates);
+            fill_workers(request, request.tasks, workers, candidates);
         if (worker_indices.size() < request.tasks) {
             continue;
         }
         const bool is_remote = !request.step->data_rack.empty() && rack != request.step->data_rack;
-        const std::pair<std::size_t, std::int64_t> score(count_suspects(workers, worker_indices) +
-                                                             (is_remote ? workers.size() : 0),
-                                                         free_accelerators(workers, candidates));
+        const std::tuple<std::size_t, int, std::int64_t> score(
+            count_suspects(workers, worker_indices) + (is_remote ? workers.size() : 0),
+            slowest_pace(workers, worker_indices),
+            request.prefer_headroom && workers[candidates.front()].in_headroom
+                ? -1
+                : free_accelerators(workers, candidates));
         if (best.empty() || score < best_score) {
             best = std::move(worker_indices);
             best_score = score;
@@ -138,7 +166,7 @@
 {
     const step_definition& step = *request.step;
     std::vector<std::size_t> worker_indices =
-        fill_workers(step, request.tasks, workers, eligible_workers(workers, &step.data_rack));
+        fill_workers(request, request.tasks, workers, eligible_workers(workers, &step.data_rack));
     if (worker_indices.size() < request.tasks && request.allow_remote_data) {
         std::vector<std::size_t> remote_workers;
         for (const std::size_t each : eligible_workers(workers, nullptr)) {
@@ -147,7 +175,7 @@
             }
         }
         const std::vector<std::size_t> rest =
-            fill_workers(step, request.tasks - static_cast<std::uint32_t>(worker_indices.size()),
+            fill_workers(request, request.tasks - static_cast<std::uint32_t>(worker_indices.size()),
                          workers, remote_workers);
         worker_indices.insert(worker_indices.end(), rest.begin(), rest.end());
     }
@@ -156,6 +184,12 @@
 
 } // namespace
 
+int pace_class_of(double slowdown)
+{
+    constexpr double classes_per_octave = 4.0;
+    return static_cast<int>(std::lround(classes_per_octave * std::log2(slowdown)));
+}
+
 resources counted_resources(const step_definition& step)
 {
     resources counted = step.per_task;
@@ -178,7 +212,7 @@
     }
     else {
         worker_indices =
-            fill_workers(step, request.tasks, workers, eligible_workers(workers, nullptr));
+            fill_workers(request, request.tasks, workers, eligible_workers(workers, nullptr));
     }
     if (step.gang && worker_indices.size() < request.tasks) {
         worker_indices.clear();
@@ -193,6 +227,7 @@
         each.available = each.capacity;
         each.reserved = resources();
         each.tasks_of_step = 0;
+        each.max_new_tasks.reset();
     }
     return find_placement(request, empty).size() >= request.tasks;
 }
--- a/src/libjobs/placement_search.h
+++ b/src/libjobs/placement_search.h
@@ -26,6 +26,22 @@
     resources capacity;
     /// Number of tasks of the same step that are assigned to the worker.
     std::uint32_t tasks_of_step = 0;
+    /// Quarters of an octave by which runs take longer than ordinary; negative: less time.
+    int pace_class = 0;
+    /// Kept free of ordinary work: urgent steps use it first.
+    bool in_headroom = false;
+    /// Tasks of any step that may be added; empty: as many as fit.
+    std::optional<std::uint32_t> max_new_tasks = std::nullopt;
+};
+
+/// Returns the pace class of a worker whose runs take `slowdown` times as long as ordinary. Workers
+/// in one class differ by less than the durations of equal runs do.
+[[nodiscard]] int pace_class_of(double slowdown);
+
+/// Which workers are preferred among those that are equally healthy.
+enum class pace_preference : std::uint8_t {
+    fast, ///< For work that is urgent, late, or as slow as the slowest of its workers.
+    slow, ///< For work that can spare the time, so that the fast workers stay free.
 };
 
 /// The resources of a task that count against the capacity of its worker.
@@ -39,6 +55,9 @@
     bool allow_any_rack = false;
     /// Tasks may be placed outside the rack of their data.
     bool allow_remote_data = false;
+    pace_preference pace = pace_preference::fast;
+    /// The headroom is used first.
+    bool prefer_headroom = false;
 };
 
 /// Returns positions in `workers`, one for each placed task. All tasks of a gang are placed or
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -3,6 +3,7 @@
 #include <tuple>
 
 #include "scheduler_round.h"
+#include "urgent_headroom.h"
 
 namespace redwingwheel::jobs {
 
@@ -12,29 +13,22 @@
 /// again first.
 constexpr milliseconds exclusion_after_refusal{300};
 constexpr std::uint32_t finished_percent = 100;
+/// A run that has progressed this far shows that its worker carries out work.
+constexpr std::uint32_t trusted_percent = 10;
 /// Suspect workers are excluded only while at most one in this many workers is suspect.
 constexpr std::size_t workers_per_suspect = 3;
-/// Ages and objectives beyond this do not influence decisions; keeps sums of times in range.
-constexpr milliseconds max_time_span = std::chrono::hours(24 * 365);
-/// The result of a job has no value when the job takes longer than this multiple of its objective.
-constexpr std::int64_t no_value_after_objectives = 3;
-
-std::int64_t peak_accelerators(const job_definition& definition)
-{
-    std::int64_t widest = 0;
-    for (const step_definition& step : definition.steps) {
-        widest = std::max(widest, step.per_task.accelerators * step.tasks);
-    }
-    return widest;
-}
 
 } // namespace
 
 scheduler::scheduler(const scheduler_options& chosen, clock_function now, const job_state& of)
-    : options(chosen), clock(std::move(now)), state(of), leading_since(this->clock())
+    : options(chosen), clock(std::move(now)), state(of), leading_since(this->clock()),
+      headroom(
+          std::make_unique<urgent_headroom>(headroom_options{.max_share = chosen.urgent_headroom}))
 {
 }
 
+scheduler::~scheduler() = default;
+
 void scheduler::begin_leadership()
 {
     this->workers.clear();
@@ -48,6 +42,7 @@
     this->due_times.clear();
     this->progressed_runs.clear();
     this->isolation_since.clear();
+    this->headroom->reset();
     this->leading_since = this->clock();
 }
 
@@ -90,6 +85,9 @@
             std::uint32_t& progressed = this->progressed_runs[each.run.task];
             progressed = std::max(progressed, each.run.number);
         }
+        if (each.percent >= run.first_percent + trusted_percent) {
+            known.trust.record_progress(run.started_at);
+        }
         run.listed = true;
         run.last_listed = now;
         run.percent = each.percent;
@@ -132,29 +130,26 @@
     known.listed.erase(end.run);
     this->pace_restart(end);
     if (end.outcome == run_outcome::done) {
-        known.consecutive_failures = 0;
-        known.suspect_until = steady_time();
-        this->record_duration(end.run);
+        known.trust.record_success();
     }
     if (end.outcome != run_outcome::failed) {
         return;
     }
     this->failed_on[end.run.task].insert(worker.id);
-    ++known.consecutive_failures;
-    this->update_suspicion(this->clock(), known);
+    const steady_time now = this->clock();
+    const auto run = this->runs.find(end.run);
+    known.trust.record_failure(run == this->runs.end() ? now : run->second.started_at, now,
+                               this->options.suspect_duration);
 }
 
-/// Ignores all but the first run of a task: a resumed run takes less time than the whole task.
-void scheduler::record_duration(const run_id& run)
+std::int64_t scheduler::run_time_ms(const run_id& run) const
 {
-    const job_record* const job = this->state.find(run.task.job);
     const auto known = this->runs.find(run);
-    if (job == nullptr || known == this->runs.end() || run.number != 1 ||
-        job->definition.steps[run.task.step].long_running) {
-        return;
+    if (known == this->runs.end() || !known->second.assigned_here) {
+        return 0;
     }
-    const std::chrono::duration<double, std::milli> took = this->clock() - known->second.started_at;
-    this->durations[job->queue].add(job->definition.steps[run.task.step].estimate_ms, took.count());
+    return std::chrono::duration_cast<milliseconds>(this->clock() - known->second.started_at)
+        .count();
 }
 
 void scheduler::record_refused_start(const worker_incarnation& worker, const run_id& run)
@@ -204,6 +199,7 @@
     std::vector<pending_step> waiting = this->pending_steps(round);
     this->update_waiting_since(round, waiting);
     this->update_isolation_since(waiting);
+    this->keep_headroom(round, waiting);
     const auto key = [](const pending_step& each) {
         return std::make_tuple(each.urgency_class, each.lateness, each.job->priority,
                                each.objective);
@@ -273,6 +269,18 @@
     });
 }
 
+/// Number of runs on the worker that were assigned since its trial began.
+std::size_t scheduler::runs_on_trial(const worker_incarnation& worker,
+                                     const worker_trust& trust) const
+{
+    const std::set<run_id>& on_worker = this->state.runs_on(worker);
+    return static_cast<std::size_t>(
+        std::count_if(on_worker.begin(), on_worker.end(), [this, &trust](const run_id& each) {
+            const auto known = this->runs.find(each);
+            return known == this->runs.end() || known->second.started_at >= trust.trial_since();
+        }));
+}
+
 void scheduler::compute_available_resources(scheduling_round& round) const
 {
     std::size_t suspects = 0;
@@ -289,7 +297,11 @@
         worker.capacity = known.description.capacity;
         worker.available = worker.capacity;
         worker.available -= *occupied;
-        worker.suspect = known.suspect_until > round.now;
+        worker.suspect = known.trust.is_suspect(round.now);
+        worker.pace_class = pace_class_of(this->state.durations().slowdown(incarnation.host));
+        if (known.trust.is_on_trial(round.now)) {
+            worker.max_new_tasks = this->runs_on_trial(incarnation, known.trust) > 0 ? 0 : 1;
+        }
         suspects += worker.suspect ? 1 : 0;
         round.ids.push_back(incarnation);
         round.availability.push_back(worker);
@@ -298,135 +310,6 @@
     round.exclude_suspects = suspects * workers_per_suspect <= round.availability.size();
 }
 
-std::set<std::string> scheduler::guaranteed_jobs() const
-{
-    std::map<std::string, std::vector<std::pair<std::int64_t, const std::string*>>> by_account;
-    for (const auto& [id, job] : this->state.jobs()) {
-        if (!job.ended() && job.priority == 0) {
-            by_account[job.account].emplace_back(job.submitted_unix_ms, &id);
-        }
-    }
-    std::set<std::string> guaranteed;
-    for (const account_definition& account : this->state.configuration().accounts) {
-        std::vector<std::pair<std::int64_t, const std::string*>>& own = by_account[account.name];
-        std::sort(own.begin(), own.end(), [](const auto& left, const auto& right) {
-            return std::tie(left.first, *left.second) < std::tie(right.first, *right.second);
-        });
-        std::int64_t needed = 0;
-        for (const auto& [submitted, id] : own) {
-            needed += peak_accelerators(this->state.find(*id)->definition);
-            if (needed > account.guaranteed_accelerators) {
-                break;
-            }
-            guaranteed.insert(*id);
-        }
-    }
-    return guaranteed;
-}
-
-std::vector<scheduler::pending_step> scheduler::pending_steps(const scheduling_round& round) const
-{
-    std::vector<pending_step> found;
-    for (const auto& [id, job] : this->state.jobs()) {
-        if (job.ended()) {
-            continue;
-        }
-        const milliseconds critical_path =
-            std::min(milliseconds(this->critical_path_ms(job)), max_time_span);
-        const double objective_ms = job.stretch * static_cast<double>(critical_path.count()) +
-                                    static_cast<double>(job.latency_target_ms);
-        const milliseconds allowed(static_cast<std::int64_t>(
-            std::clamp(objective_ms, 0.0, static_cast<double>(max_time_span.count()))));
-        for (const auto& [number, occurrence] : job.open_occurrences) {
-            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-                const step_record& record = occurrence.steps[step];
-                const step_definition& definition = job.definition.steps[step];
-                const bool gang_is_running = definition.gang && record.assigned > 0;
-                if (record.done + record.assigned == record.tasks.size() || gang_is_running ||
-                    !is_ready(job.definition, occurrence, step)) {
-                    continue;
-                }
-                pending_step pending;
-                pending.job_id = &id;
-                pending.job = &job;
-                pending.occurrence = number;
-                pending.step = step;
-                bool has_paced_task = false;
-                for (std::uint32_t index = 0; index < record.tasks.size(); ++index) {
-                    if (record.tasks[index].phase != task_phase::waiting) {
-                        continue;
-                    }
-                    if (this->is_paced({id, number, step, index}, round.now)) {
-                        has_paced_task = true;
-                        continue;
-                    }
-                    pending.waiting_tasks.push_back(index);
-                }
-                if (pending.waiting_tasks.empty() || (definition.gang && has_paced_task)) {
-                    continue;
-                }
-                pending.due = this->due_times.at({id, number});
-                pending.objective = pending.due + allowed;
-                const steady_time expected_end = round.now + critical_path;
-                const steady_time worthless = pending.due + no_value_after_objectives * allowed;
-                pending.lateness = expected_end <= pending.objective ? 0
-                                   : expected_end < worthless        ? 1
-                                                                     : 2;
-                if (job.priority == 0) {
-                    pending.urgency_class =
-                        round.guaranteed.contains(id) ? urgency::guaranteed : urgency::urgent;
-                }
-                this->add_pending(found, std::move(pending), record);
-            }
-        }
-    }
-    return found;
-}
-
-bool scheduler::is_silent(const scheduling_round& round, const tracked_worker& worker) const
-{
-    return worker.poll_answered_at.has_value() &&
-           round.now > *worker.poll_answered_at + this->options.silence_timeout;
-}
-
-void scheduler::update_eligibility(scheduling_round& round, const pending_step& pending) const
-{
-    const step_definition& step = pending.definition();
-    std::set<std::string> failed;
-    for (const std::uint32_t index : pending.waiting_tasks) {
-        task_id id = pending.id();
-        id.index = index;
-        const auto found = this->failed_on.find(id);
-        if (found != this->failed_on.end()) {
-            failed.insert(found->second.begin(), found->second.end());
-        }
-    }
-    const std::set<std::string> hosts_crashed = this->crashed_hosts(pending);
-    const step_record& record =
-        pending.job->open_occurrences.at(pending.occurrence).steps[pending.step];
-    for (std::size_t each = 0; each < round.availability.size(); ++each) {
-        const tracked_worker& known = this->workers.at(round.ids[each]);
-        const worker_description& worker = known.description;
-        worker_availability& entry = round.availability[each];
-        const bool has_label =
-            step.required_label.empty() || std::find(worker.labels.begin(), worker.labels.end(),
-                                                     step.required_label) != worker.labels.end();
-        const bool is_suspect = known.suspect_until > round.now;
-        entry.eligible = worker.service == pending.job->service && has_label && !worker.draining &&
-                         worker.reachable && !this->is_silent(round, known) &&
-                         known.excluded_until <= round.now &&
-                         !this->state.evacuated().contains(worker.data_centre) &&
-                         !(is_suspect && round.exclude_suspects);
-        entry.suspect = is_suspect || failed.contains(round.ids[each].id) ||
-                        hosts_crashed.contains(round.ids[each].host);
-        entry.tasks_of_step = static_cast<std::uint32_t>(
-            std::count_if(record.tasks.begin(), record.tasks.end(),
-                          [&id = round.ids[each]](const task_record& task) {
-                              return task.phase == task_phase::assigned && task.worker == id;
-                          }));
-    }
-}
-
 void scheduler::assign(scheduling_round& round, const pending_step& pending,
                        const std::vector<std::size_t>& worker_indices)
 {
@@ -444,9 +327,15 @@
         id.index = pending.waiting_tasks[each];
         const std::uint32_t number = (step.gang ? gang_run : record.tasks[id.index].last_run) + 1;
         command.runs.push_back({{id, number}, round.ids[worker_indices[each]]});
-        this->runs[{id, number}].started_at = round.now;
-        this->runs[{id, number}].last_progress = round.now;
-        round.availability[worker_indices[each]].available -= counted_resources(step);
+        tracked_run& run = this->runs[{id, number}];
+        run.started_at = round.now;
+        run.assigned_here = true;
+        run.last_progress = round.now;
+        worker_availability& worker = round.availability[worker_indices[each]];
+        worker.available -= counted_resources(step);
+        if (worker.max_new_tasks.has_value()) {
+            --*worker.max_new_tasks;
+        }
         worker_jobs& jobs = round.jobs[worker_indices[each]];
         jobs.jobs.insert(id.job);
         if (pending.crash_suspect) {
--- a/src/libjobs/scheduler_eviction.cpp
+++ b/src/libjobs/scheduler_eviction.cpp
@@ -33,6 +33,8 @@
     placement_request request;
     request.step = &pending.definition();
     request.tasks = static_cast<std::uint32_t>(pending.waiting_tasks.size());
+    request.pace = this->preferred_pace(round, pending);
+    request.prefer_headroom = pending.urgency_class != urgency::ordinary;
     const milliseconds waited = std::chrono::duration_cast<milliseconds>(round.now - pending.due);
     const bool never_fits =
         this->workers_had_time_to_report(round) && !fits_when_empty(request, round.availability);
@@ -41,6 +43,7 @@
         never_fits ||
         waited >= milliseconds(std::max<std::int64_t>(pending.definition().estimate_ms, 1000)) ||
         pending.urgency_class == urgency::guaranteed;
+    this->apply_headroom(round, pending, request);
     const bool isolate = this->apply_isolation(round, pending);
     const std::vector<std::size_t> worker_indices = find_placement(request, round.availability);
     if (!worker_indices.empty()) {
@@ -67,6 +70,24 @@
     restore_reservations(round, pending);
 }
 
+/// Ordinary tasks that run one by one and have time to spare leave the fast workers to urgent work
+/// and to gangs, which are as slow as the slowest of their workers.
+pace_preference scheduler::preferred_pace(const scheduling_round& round,
+                                          const pending_step& pending) const
+{
+    const step_definition& step = pending.definition();
+    if (pending.urgency_class != urgency::ordinary || step.gang || step.long_running) {
+        return pace_preference::fast;
+    }
+    double slowest = 1.0;
+    for (const worker_incarnation& each : round.ids) {
+        slowest = std::max(slowest, this->state.durations().slowdown(each.host));
+    }
+    const std::chrono::duration<double, std::milli> left = pending.objective - round.now;
+    const double longest_ms = slowest * this->predicted(*pending.job, step).upper_ms;
+    return longest_ms <= left.count() ? pace_preference::slow : pace_preference::fast;
+}
+
 /// A new leader knows only the workers that have reported to it.
 bool scheduler::workers_had_time_to_report(const scheduling_round& round) const
 {
@@ -104,14 +125,21 @@
     if (this->has_reservation(round, pending)) {
         return;
     }
-    std::vector<victim> expected = this->find_victims(round, std::nullopt);
+    std::vector<victim> expected = this->find_ending_runs(round);
     std::sort(expected.begin(), expected.end(), [](const victim& left, const victim& right) {
         return left.expected_remaining_ms < right.expected_remaining_ms;
     });
     const std::optional<eviction_plan> plan = plan_eviction(round, request, expected);
-    if (plan.has_value()) {
-        this->make_reservation(round, pending, *plan);
+    if (!plan.has_value()) {
+        return;
     }
+    double longest_ms = 0.0;
+    for (const std::size_t each : plan->victim_indices) {
+        longest_ms = std::max(longest_ms, expected[each].earliest_end_ms);
+    }
+    const milliseconds until_usable(static_cast<std::int64_t>(
+        std::min(longest_ms, static_cast<double>(max_time_span.count()))));
+    this->make_reservation(round, pending, *plan, round.now + until_usable);
 }
 
 /// Evicts other runs for an urgent step, unless resources are already being freed for it.
@@ -125,21 +153,23 @@
     return this->reserve_by_eviction(round, pending, request);
 }
 
-std::vector<scheduler::victim>
-scheduler::find_victims(const scheduling_round& round,
-                        std::optional<std::uint32_t> protected_priority) const
+/// Runs on known workers, those of a gang together. Long-running tasks end only when they are
+/// stopped.
+std::vector<scheduler::victim> scheduler::group_runs(const scheduling_round& round,
+                                                     bool with_long_running) const
 {
     std::map<std::tuple<std::string, std::uint32_t, std::uint32_t, std::uint32_t>, victim> by_unit;
     for (std::size_t each = 0; each < round.ids.size(); ++each) {
         for (const run_id& run : this->state.runs_on(round.ids[each])) {
             const job_record* const job = this->state.find(run.task.job);
             const step_definition& step = job->definition.steps[run.task.step];
-            if (step.long_running) {
+            if (step.long_running && !with_long_running) {
                 continue;
             }
             const bool is_ending = this->evicting.contains(run) || job->ended();
             const double left = is_ending ? 0.0 : this->expected_remaining_ms(round, run);
-            const bool ends_soon = is_ending || this->is_about_to_end(round, run);
+            const bool ends_soon =
+                is_ending || (!step.long_running && this->is_about_to_end(round, run));
             const std::uint32_t index = step.gang ? 0 : run.task.index;
             victim& unit = by_unit[{run.task.job, run.task.occurrence, run.task.step, index}];
             unit.runs.push_back(run);
@@ -150,36 +180,101 @@
                 known == this->runs.end()
                     ? 0.0
                     : std::chrono::duration<double>(round.now - known->second.started_at).count();
+            const bool keeps_work = step.resumable || step.long_running;
             unit.cost += is_ending ? 0.0
                                    : core_equivalents(step.per_task) *
-                                         (step.resumable ? resume_cost_s : seconds);
+                                         (keeps_work ? resume_cost_s : seconds);
             unit.expected_remaining_ms = std::max(unit.expected_remaining_ms, left);
+            const std::optional<double> measured = this->measured_remaining_ms(round, run);
+            constexpr double ms_per_second = 1000.0;
+            unit.earliest_end_ms = std::max(
+                unit.earliest_end_ms,
+                measured.has_value() ? left : std::max(0.0, left - seconds * ms_per_second));
             unit.ends_soon = ends_soon && (unit.runs.size() == 1 || unit.ends_soon);
+            unit.rank = step.long_running    ? victim_rank::long_running
+                        : job->priority == 0 ? victim_rank::urgent
+                                             : victim_rank::batch;
         }
     }
     std::vector<victim> found;
     for (auto& [key, unit] : by_unit) {
-        const job_record& job = *this->state.find(unit.runs.front().task.job);
-        if (protected_priority.has_value() && job.priority <= *protected_priority &&
-            !unit.ends_soon) {
-            continue;
-        }
         if (unit.ends_soon) {
             unit.cost = 0.0;
         }
         found.push_back(std::move(unit));
     }
     std::sort(found.begin(), found.end(), [](const victim& left, const victim& right) {
-        const auto cost_per_core = [](const victim& of) {
+        const auto order = [](const victim& of) {
             const double freed =
                 static_cast<double>(of.runs.size()) * core_equivalents(of.freed_per_task);
-            return of.cost / std::max(freed, 0.001);
+            return std::make_tuple(of.ends_soon ? victim_rank::batch : of.rank,
+                                   of.cost / std::max(freed, 0.001));
         };
-        return cost_per_core(left) < cost_per_core(right);
+        return order(left) < order(right);
     });
     return found;
 }
 
+std::vector<scheduler::victim> scheduler::find_ending_runs(const scheduling_round& round) const
+{
+    return this->group_runs(round, false);
+}
+
+/// A guaranteed step may stop whatever its own guarantee or that of another account does not cover,
+/// and long-running tasks as far as their disruption limits allow. Other urgent steps may stop only
+/// runs of lower priority that end by themselves.
+std::vector<scheduler::victim> scheduler::find_victims(const scheduling_round& round,
+                                                       const pending_step& pending) const
+{
+    const bool is_guaranteed = pending.urgency_class == urgency::guaranteed;
+    std::map<task_id, std::size_t> disruptions;
+    std::vector<victim> found;
+    for (victim& unit : this->group_runs(round, is_guaranteed)) {
+        const run_id& first = unit.runs.front();
+        const job_record& job = *this->state.find(first.task.job);
+        const bool is_covered =
+            job.priority == 0 && (!is_guaranteed || round.guaranteed.contains(first.task.job));
+        if (is_covered && !unit.ends_soon) {
+            continue;
+        }
+        if (unit.rank == victim_rank::long_running && !unit.ends_soon) {
+            const task_id step{first.task.job, first.task.occurrence, first.task.step, 0};
+            std::size_t& left =
+                disruptions.try_emplace(step, this->disruptions_left(step)).first->second;
+            if (left < unit.runs.size()) {
+                continue;
+            }
+            left -= unit.runs.size();
+        }
+        found.push_back(std::move(unit));
+    }
+    return found;
+}
+
+/// A task is at work when it is listed at 100 percent.
+std::size_t scheduler::disruptions_left(const task_id& step) const
+{
+    constexpr std::uint32_t at_work_percent = 100;
+    const job_record& job = *this->state.find(step.job);
+    const step_definition& definition = job.definition.steps[step.step];
+    const step_record& record = job.open_occurrences.at(step.occurrence).steps[step.step];
+    if (definition.disruption_limit == 0) {
+        return record.tasks.size();
+    }
+    std::size_t away = 0;
+    task_id task = step;
+    for (task.index = 0; task.index < record.tasks.size(); ++task.index) {
+        const run_id run{task, record.tasks[task.index].last_run};
+        const auto known = this->runs.find(run);
+        const bool at_work = record.tasks[task.index].phase == task_phase::assigned &&
+                             known != this->runs.end() && known->second.listed &&
+                             known->second.percent >= at_work_percent &&
+                             !this->evicting.contains(run);
+        away += at_work ? 0 : 1;
+    }
+    return definition.disruption_limit - std::min<std::size_t>(away, definition.disruption_limit);
+}
+
 /// True when the measured progress predicts the end of the run within `imminent_end`. A declared
 /// duration is not sufficient, nor is a run that should have ended long ago.
 bool scheduler::is_about_to_end(const scheduling_round& round, const run_id& run) const
@@ -241,7 +336,7 @@
 waiting_step scheduler::reserve_by_eviction(scheduling_round& round, const pending_step& pending,
                                             const placement_request& request)
 {
-    const std::vector<victim> candidates = this->find_victims(round, 0);
+    const std::vector<victim> candidates = this->find_victims(round, pending);
     std::optional<eviction_plan> best;
     std::set<std::string> racks;
     if (request.step->same_rack && !request.allow_any_rack) {
@@ -285,7 +380,7 @@
     if (pending.urgency_class != urgency::guaranteed && best->cost > limit) {
         return {pending.id(), wait_reason::eviction_too_dear, 0, false, best->cost, limit};
     }
-    this->make_reservation(round, pending, *best);
+    this->make_reservation(round, pending, *best, round.now);
     for (const victim& unit : best->victims) {
         if (unit.ends_soon) {
             continue;
--- a/src/libjobs/scheduler_eviction_test.cpp
+++ b/src/libjobs/scheduler_eviction_test.cpp
@@ -144,3 +144,93 @@
     w.decide();
     CHECK(w.workers_of("gang").size() == 2);
 }
+
+// Load: a gang waits for a worker on which a long task runs, and small jobs arrive. Failure: the
+// idle rest of the worker is kept from a small job that would be done long before the gang starts.
+TEST_CASE("a short task uses resources that a gang cannot use yet")
+{
+    world w;
+    w.add_worker("a", "r1");
+    w.submit("long", "batch", 1, 6, false, false, "key", 60'000);
+    w.decide();
+    w.submit("gang", "batch", 2, 4, true, false, "key", 5000);
+    w.advance_time(milliseconds(2000));
+    w.report("a", {{{{"long", 0, 0, 0}, 1}, "", 3}});
+    w.decide();
+    w.submit("short", "batch", 1, 1, false, false, "key", 1000);
+    w.submit("another long", "batch", 1, 1, false, false, "key", 50'000);
+    w.decide();
+    CHECK(w.workers_of("short").size() == 1);
+    CHECK(w.workers_of("another long").empty());
+}
+
+namespace {
+
+void submit_long_running(world& w, std::uint32_t tasks, std::uint32_t disruption_limit)
+{
+    step_definition step;
+    step.tasks = tasks;
+    step.per_task = {1000, 1000, 8};
+    step.long_running = true;
+    step.disruption_limit = disruption_limit;
+    w.submit_step("lasting", "batch", step, "other");
+}
+
+} // namespace
+
+// Failure: a guarantee cannot be reclaimed from tasks that run until their job is cancelled.
+TEST_CASE("guaranteed work stops long-running tasks of others")
+{
+    world w;
+    w.add_worker("a", "r1");
+    submit_long_running(w, 1, 0);
+    w.decide();
+    w.report("a", {{{{"lasting", 0, 0, 0}, 1}, "", 100}});
+    w.submit("mine", "urgent", 1, 8);
+    const schedule made = w.decide();
+    REQUIRE(made.evictions.size() == 1);
+    CHECK(made.evictions.front().run.task.job == "lasting");
+    w.end_run({{"lasting", 0, 0, 0}, 1}, run_outcome::stopped);
+    w.decide();
+    CHECK(w.workers_of("mine").size() == 1);
+}
+
+// Failure: more tasks of a long-running step are stopped at once than its job can spare.
+TEST_CASE("the disruption limit of long-running tasks holds for guaranteed work")
+{
+    world w;
+    for (const char* const id : {"a", "b"}) {
+        w.add_worker(id, "r1");
+    }
+    submit_long_running(w, 2, 1);
+    w.decide();
+    w.report("a", {{{{"lasting", 0, 0, 0}, 1}, "", 100}});
+    w.report("b", {{{{"lasting", 0, 0, 1}, 1}, "", 100}});
+    w.submit("mine", "urgent", 2, 8);
+    CHECK(w.decide().evictions.empty());
+    w.submit("smaller", "urgent", 1, 8, false, false, "key");
+    w.state.apply(cancel_job{"mine", w.unix_ms, ""});
+    CHECK(w.decide().evictions.size() == 1);
+    CHECK(w.decide().evictions.empty());
+}
+
+// Failure: an account that borrows for urgent work of its own keeps what is guaranteed to another.
+TEST_CASE("guaranteed work stops urgent work beyond a guarantee, and no guaranteed work")
+{
+    world w;
+    for (const char* const id : {"a", "b"}) {
+        w.add_worker(id, "r1");
+    }
+    w.submit("borrower", "urgent", 1, 8, false, false, "other");
+    w.decide();
+    w.submit("covered", "urgent", 1, 8);
+    w.decide();
+    w.submit("also covered", "urgent", 1, 8);
+    const schedule made = w.decide();
+    REQUIRE(made.evictions.size() == 1);
+    CHECK(made.evictions.front().run.task.job == "borrower");
+    w.end_run({{"borrower", 0, 0, 0}, 1}, run_outcome::stopped);
+    w.decide();
+    CHECK(w.workers_of("also covered").size() == 1);
+    CHECK(w.workers_of("covered").size() == 1);
+}
--- a/src/libjobs/scheduler_reservations.cpp
+++ b/src/libjobs/scheduler_reservations.cpp
@@ -13,18 +13,19 @@
 }
 
 void scheduler::make_reservation(scheduling_round& round, const pending_step& pending,
-                                 const eviction_plan& plan)
+                                 const eviction_plan& plan, steady_time usable_at)
 {
     this->drop_reservation(round, pending.id());
     reservation made;
     made.made_at = round.now;
     made.per_task = counted_resources(pending.definition());
     made.urgency_class = pending.urgency_class;
+    made.usable_at = usable_at;
     for (const std::size_t place : plan.worker_indices) {
         made.workers.push_back(round.ids[place]);
     }
     round.active_reservations.push_back(
-        {pending.id(), made.urgency_class, made.per_task, plan.worker_indices});
+        {pending.id(), made.urgency_class, made.per_task, plan.worker_indices, made.usable_at});
     this->reservations[pending.id()] = std::move(made);
 }
 
@@ -47,7 +48,7 @@
             job->ended()) {
             continue;
         }
-        active_reservation held{owner, made.urgency_class, made.per_task, {}};
+        active_reservation held{owner, made.urgency_class, made.per_task, {}, made.usable_at};
         for (const worker_incarnation& worker : made.workers) {
             const auto found = positions.find(worker);
             if (found != positions.end()) {
@@ -58,30 +59,32 @@
     }
 }
 
-void scheduler::subtract_reservations(scheduling_round& round, const pending_step& pending)
+void scheduler::subtract_reservations(scheduling_round& round, const pending_step& pending) const
 {
-    for_each_competing_reservation(round, pending,
-                                   [](worker_availability& worker, const resources& per_task) {
-                                       worker.available -= per_task;
-                                       worker.reserved += per_task;
-                                   });
+    this->for_each_competing_reservation(
+        round, pending, [](worker_availability& worker, const resources& per_task) {
+            worker.available -= per_task;
+            worker.reserved += per_task;
+        });
 }
 
-void scheduler::restore_reservations(scheduling_round& round, const pending_step& pending)
+void scheduler::restore_reservations(scheduling_round& round, const pending_step& pending) const
 {
-    for_each_competing_reservation(round, pending,
-                                   [](worker_availability& worker, const resources& per_task) {
-                                       worker.available += per_task;
-                                       worker.reserved -= per_task;
-                                   });
+    this->for_each_competing_reservation(
+        round, pending, [](worker_availability& worker, const resources& per_task) {
+            worker.available += per_task;
+            worker.reserved -= per_task;
+        });
 }
 
 void scheduler::for_each_competing_reservation(
     scheduling_round& round, const pending_step& pending,
-    const std::function<void(worker_availability&, const resources&)>& change)
+    const std::function<void(worker_availability&, const resources&)>& change) const
 {
+    const steady_time end = this->expected_end(round, pending);
     for (const active_reservation& held : round.active_reservations) {
-        if (held.owner != pending.id() && held.urgency_class <= pending.urgency_class) {
+        if (held.owner != pending.id() && held.urgency_class <= pending.urgency_class &&
+            end > held.usable_at) {
             for (const std::size_t place : held.worker_indices) {
                 change(round.availability[place], held.per_task);
             }
@@ -89,4 +92,21 @@
     }
 }
 
+/// Errs on the late side. Long-running tasks never end, and tasks of unknown duration are taken to
+/// run for long.
+steady_time scheduler::expected_end(const scheduling_round& round,
+                                    const pending_step& pending) const
+{
+    /// A gang that is held up costs more than a task that waits, so that reserved resources go to a
+    /// task only if it would be done in half of the time until they are needed.
+    constexpr double safety_factor = 2.0;
+    const step_definition& step = pending.definition();
+    const double upper_ms = safety_factor * this->predicted(*pending.job, step).upper_ms;
+    if (step.long_running || (step.estimate_ms <= 0 && upper_ms <= safety_factor)) {
+        return steady_time::max();
+    }
+    return round.now + milliseconds(static_cast<std::int64_t>(
+                           std::min(upper_ms, static_cast<double>(max_time_span.count()))));
+}
+
 } // namespace redwingwheel::jobs
--- a/src/libjobs/scheduler_round.h
+++ b/src/libjobs/scheduler_round.h
@@ -5,6 +5,10 @@
 
 namespace redwingwheel::jobs {
 
+/// Ages, durations and objectives beyond this do not influence decisions; keeps sums of times in
+/// range.
+constexpr milliseconds max_time_span = std::chrono::hours(24 * 365);
+
 /// A step with tasks that are ready and not assigned.
 struct scheduler::pending_step {
     const std::string* job_id = nullptr;
@@ -33,6 +37,7 @@
     urgency urgency_class = urgency::ordinary;
     resources per_task;
     std::vector<std::size_t> worker_indices;
+    steady_time usable_at;
 };
 
 /// State of one round of decisions.
@@ -45,6 +50,7 @@
     /// Suspect workers are not eligible, because there are few enough of them.
     bool exclude_suspects = true;
     std::set<std::string> guaranteed;
+    std::vector<std::size_t> headroom; ///< Positions of workers that are kept for urgent steps.
     std::vector<active_reservation> active_reservations;
     /// An ordinary gang has a reservation. Only one at a time has, so that most resources stay
     /// usable.
--- a/src/libjobs/scheduler_runs.cpp
+++ b/src/libjobs/scheduler_runs.cpp
@@ -8,11 +8,8 @@
 
 namespace {
 
-/// Consecutive failures after which a worker becomes suspect. A single failure is more often the
-/// fault of the job.
-constexpr std::uint32_t failures_before_suspicion = 2;
-/// `suspect_duration` doubles with each further failure, at most this many times.
-constexpr std::uint32_t max_suspicion_doublings = 3;
+/// A stall of a run whose worker alone can be at fault counts like this many failures.
+constexpr std::uint32_t certain_stall_weight = 2;
 constexpr double whole_percent = 100.0;
 
 } // namespace
@@ -64,7 +61,10 @@
         }
         const job_record* const job = this->state.find(run.task.job);
         if (job == nullptr || job->definition.steps[run.task.step].long_running ||
-            round.now > this->workers[this->state.find(run.task)->worker].permit_until) {
+            round.now > this->workers[this->state.find(run.task)->worker].permit_until ||
+            progress.last_listed <
+                progress.last_progress +
+                    this->stall_timeout(run, this->state.find(run.task)->worker.host)) {
             continue;
         }
         this->count_stall_as_failure(round, run);
@@ -87,13 +87,9 @@
         }
     }
     for (const worker_incarnation& each : possibly_faulty) {
-        tracked_worker& known = this->workers[each];
-        ++known.consecutive_failures;
-        if (possibly_faulty.size() == 1) {
-            known.consecutive_failures =
-                std::max(known.consecutive_failures, failures_before_suspicion + 1);
-        }
-        this->update_suspicion(round.now, known);
+        this->workers[each].trust.record_failure(
+            this->runs.at(run).started_at, round.now, this->options.suspect_duration,
+            possibly_faulty.size() == 1 ? certain_stall_weight : 1);
     }
 }
 
@@ -109,16 +105,6 @@
                        });
 }
 
-/// Makes a worker suspect after consecutive failures, for longer with each of them.
-void scheduler::update_suspicion(steady_time now, tracked_worker& worker) const
-{
-    if (worker.consecutive_failures >= failures_before_suspicion) {
-        const std::uint32_t doublings = std::min(
-            worker.consecutive_failures - failures_before_suspicion, max_suspicion_doublings);
-        worker.suspect_until = now + this->options.suspect_duration * (1 << doublings);
-    }
-}
-
 /// Delays the restart of a long-running task whose runs end at once. Ends that the system has
 /// caused do not count.
 void scheduler::pace_restart(const ended_run& end)
@@ -225,11 +211,28 @@
     }
 }
 
+duration_prediction scheduler::predicted(const job_record& job, const step_definition& step) const
+{
+    return this->state.durations().predict(kind_of(step, job.queue, job.account));
+}
+
 double scheduler::predicted_ms(const job_record& job, const step_definition& step) const
 {
-    const auto known = this->durations.find(job.queue);
-    return known == this->durations.end() ? static_cast<double>(step.estimate_ms)
-                                          : known->second.predict_ms(step.estimate_ms);
+    return this->predicted(job, step).median_ms;
+}
+
+milliseconds scheduler::stall_timeout(const run_id& run, const std::string& host) const
+{
+    /// A run is reported in whole percent, and a run that takes this many times longer than
+    /// expected is not stopped for it.
+    constexpr double tolerated_percents = 5.0;
+    const job_record& job = *this->state.find(run.task.job);
+    const double expected_ms = this->predicted_ms(job, job.definition.steps[run.task.step]) *
+                               this->state.durations().slowdown(host);
+    constexpr double max_timeout_ms = 60'000.0;
+    const milliseconds scaled(static_cast<std::int64_t>(
+        std::min(max_timeout_ms, expected_ms * tolerated_percents / whole_percent)));
+    return std::max(this->options.stall_timeout, scaled);
 }
 
 std::int64_t scheduler::critical_path_ms(const job_record& job) const
@@ -270,7 +273,9 @@
         return std::max(0.0, *measured);
     }
     const job_record& job = *this->state.find(run.task.job);
-    const double predicted = this->predicted_ms(job, job.definition.steps[run.task.step]);
+    const double predicted =
+        this->predicted_ms(job, job.definition.steps[run.task.step]) *
+        this->state.durations().slowdown(this->state.find(run.task)->worker.host);
     const auto found = this->runs.find(run);
     const double remaining_percent =
         found == this->runs.end() ? whole_percent : whole_percent - found->second.percent;
--- a/src/libjobs/scheduler_runs_test.cpp
+++ b/src/libjobs/scheduler_runs_test.cpp
@@ -342,3 +342,67 @@
         CHECK(longest_wait <= milliseconds(4500));
     }
 }
+
+// Failure: a sound run that takes longer than the stall timeout for each percent is stopped again
+// and again.
+TEST_CASE("a long run is not stalled while a percent takes as long as expected")
+{
+    world w;
+    w.add_worker("a", "r1");
+    w.submit("long", "batch", 1, 1, false, false, "key", 600'000);
+    w.decide();
+    const run_id run{{"long", 0, 0, 0}, 1};
+    std::size_t evictions = 0;
+    for (int step = 0; step < 100; ++step) {
+        w.advance_time(milliseconds(500));
+        w.report("a", {{run, "", static_cast<std::uint32_t>(step / 12)}});
+        evictions += w.decide().evictions.size();
+    }
+    CHECK(evictions == 0);
+    for (int step = 0; step < 62 && evictions == 0; ++step) {
+        w.advance_time(milliseconds(500));
+        w.report("a", {{run, "", 9}});
+        evictions += w.decide().evictions.size();
+    }
+    CHECK(evictions == 1);
+}
+
+// Load: one worker in four is slow, and gangs come beside single tasks that can wait. Failure: each
+// gang is as slow as the slow worker, on which the single tasks would have had time.
+TEST_CASE("gangs take fast workers, and single tasks with time to spare the slow ones")
+{
+    world w;
+    for (const char* const id : {"slow", "b", "c", "d"}) {
+        w.add_worker(id, "r1");
+    }
+    for (int round = 0; round < 16; ++round) {
+        const std::string job = "warm" + std::to_string(round);
+        w.submit(job, "batch", 4, 8, false, false, "key", 0);
+        REQUIRE(w.decide().assignments.size() == 1);
+        std::vector<run_id> late;
+        for (const auto& [id, worker] : w.workers) {
+            late.insert(late.end(), w.state.runs_on(worker.incarnation).begin(),
+                        w.state.runs_on(worker.incarnation).end());
+        }
+        w.advance_time(milliseconds(2000));
+        for (const run_id& run : late) {
+            if (w.state.find(run.task)->worker.id != "slow") {
+                w.end_run(run, run_outcome::done);
+            }
+        }
+        w.advance_time(milliseconds(2400));
+        for (const auto& [id, worker] : w.workers) {
+            const std::set<run_id> left = w.state.runs_on(worker.incarnation);
+            for (const run_id& run : left) {
+                w.end_run(run, run_outcome::done);
+            }
+            w.report(id);
+        }
+    }
+    CHECK(w.state.durations().slowdown("host-slow") > 1.5);
+    w.submit("single", "batch", 1, 2, false, false, "key", 0);
+    w.submit("gang", "batch", 3, 8, true, false, "key", 0);
+    w.decide();
+    CHECK(w.workers_of("single") == std::set<std::string>{"slow"});
+    CHECK(w.workers_of("gang") == std::set<std::string>{"b", "c", "d"});
+}
--- /dev/null
+++ b/src/libjobs/scheduler_waiting.cpp
@@ -0,0 +1,155 @@
+#include "redwingwheel/scheduler.h"
+
+#include "scheduler_round.h"
+
+/// The steps that wait for workers, in the order in which they are placed, and the workers that may
+/// run them.
+namespace redwingwheel::jobs {
+
+namespace {
+
+/// The result of a job has no value when the job takes longer than this multiple of its objective.
+constexpr std::int64_t no_value_after_objectives = 3;
+
+std::int64_t peak_accelerators(const job_definition& definition)
+{
+    std::int64_t widest = 0;
+    for (const step_definition& step : definition.steps) {
+        widest = std::max(widest, step.per_task.accelerators * step.tasks);
+    }
+    return widest;
+}
+
+} // namespace
+
+std::set<std::string> scheduler::guaranteed_jobs() const
+{
+    std::map<std::string, std::vector<std::pair<std::int64_t, const std::string*>>> by_account;
+    for (const auto& [id, job] : this->state.jobs()) {
+        if (!job.ended() && job.priority == 0) {
+            by_account[job.account].emplace_back(job.submitted_unix_ms, &id);
+        }
+    }
+    std::set<std::string> guaranteed;
+    for (const account_definition& account : this->state.configuration().accounts) {
+        std::vector<std::pair<std::int64_t, const std::string*>>& own = by_account[account.name];
+        std::sort(own.begin(), own.end(), [](const auto& left, const auto& right) {
+            return std::tie(left.first, *left.second) < std::tie(right.first, *right.second);
+        });
+        std::int64_t needed = 0;
+        for (const auto& [submitted, id] : own) {
+            needed += peak_accelerators(this->state.find(*id)->definition);
+            if (needed > account.guaranteed_accelerators) {
+                break;
+            }
+            guaranteed.insert(*id);
+        }
+    }
+    return guaranteed;
+}
+
+std::vector<scheduler::pending_step> scheduler::pending_steps(const scheduling_round& round) const
+{
+    std::vector<pending_step> found;
+    for (const auto& [id, job] : this->state.jobs()) {
+        if (job.ended()) {
+            continue;
+        }
+        const milliseconds critical_path =
+            std::min(milliseconds(this->critical_path_ms(job)), max_time_span);
+        const double objective_ms = job.stretch * static_cast<double>(critical_path.count()) +
+                                    static_cast<double>(job.latency_target_ms);
+        const milliseconds allowed(static_cast<std::int64_t>(
+            std::clamp(objective_ms, 0.0, static_cast<double>(max_time_span.count()))));
+        for (const auto& [number, occurrence] : job.open_occurrences) {
+            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                const step_record& record = occurrence.steps[step];
+                const step_definition& definition = job.definition.steps[step];
+                const bool gang_is_running = definition.gang && record.assigned > 0;
+                if (record.done + record.assigned == record.tasks.size() || gang_is_running ||
+                    !is_ready(job.definition, occurrence, step)) {
+                    continue;
+                }
+                pending_step pending;
+                pending.job_id = &id;
+                pending.job = &job;
+                pending.occurrence = number;
+                pending.step = step;
+                bool has_paced_task = false;
+                for (std::uint32_t index = 0; index < record.tasks.size(); ++index) {
+                    if (record.tasks[index].phase != task_phase::waiting) {
+                        continue;
+                    }
+                    if (this->is_paced({id, number, step, index}, round.now)) {
+                        has_paced_task = true;
+                        continue;
+                    }
+                    pending.waiting_tasks.push_back(index);
+                }
+                if (pending.waiting_tasks.empty() || (definition.gang && has_paced_task)) {
+                    continue;
+                }
+                pending.due = this->due_times.at({id, number});
+                pending.objective = pending.due + allowed;
+                const steady_time expected_end = round.now + critical_path;
+                const steady_time worthless = pending.due + no_value_after_objectives * allowed;
+                pending.lateness = expected_end <= pending.objective ? 0
+                                   : expected_end < worthless        ? 1
+                                                                     : 2;
+                if (job.priority == 0) {
+                    pending.urgency_class =
+                        round.guaranteed.contains(id) ? urgency::guaranteed : urgency::urgent;
+                }
+                this->add_pending(found, std::move(pending), record);
+            }
+        }
+    }
+    return found;
+}
+
+bool scheduler::is_silent(const scheduling_round& round, const tracked_worker& worker) const
+{
+    return worker.poll_answered_at.has_value() &&
+           round.now > *worker.poll_answered_at + this->options.silence_timeout;
+}
+
+void scheduler::update_eligibility(scheduling_round& round, const pending_step& pending) const
+{
+    const step_definition& step = pending.definition();
+    std::set<std::string> failed;
+    for (const std::uint32_t index : pending.waiting_tasks) {
+        task_id id = pending.id();
+        id.index = index;
+        const auto found = this->failed_on.find(id);
+        if (found != this->failed_on.end()) {
+            failed.insert(found->second.begin(), found->second.end());
+        }
+    }
+    const std::set<std::string> hosts_crashed = this->crashed_hosts(pending);
+    const step_record& record =
+        pending.job->open_occurrences.at(pending.occurrence).steps[pending.step];
+    for (std::size_t each = 0; each < round.availability.size(); ++each) {
+        const tracked_worker& known = this->workers.at(round.ids[each]);
+        const worker_description& worker = known.description;
+        worker_availability& entry = round.availability[each];
+        const bool has_label =
+            step.required_label.empty() || std::find(worker.labels.begin(), worker.labels.end(),
+                                                     step.required_label) != worker.labels.end();
+        const bool is_suspect = known.trust.is_suspect(round.now);
+        entry.eligible = worker.service == pending.job->service && has_label && !worker.draining &&
+                         worker.reachable && !this->is_silent(round, known) &&
+                         known.excluded_until <= round.now &&
+                         !this->state.evacuated().contains(worker.data_centre) &&
+                         !(is_suspect && round.exclude_suspects);
+        entry.suspect = is_suspect || known.trust.is_on_trial(round.now) ||
+                        failed.contains(round.ids[each].id) ||
+                        hosts_crashed.contains(round.ids[each].host);
+        entry.tasks_of_step = static_cast<std::uint32_t>(
+            std::count_if(record.tasks.begin(), record.tasks.end(),
+                          [&id = round.ids[each]](const task_record& task) {
+                              return task.phase == task_phase::assigned && task.worker == id;
+                          }));
+    }
+}
+
+} // namespace redwingwheel::jobs
--- a/src/libjobs/scheduler_world.h
+++ b/src/libjobs/scheduler_world.h
@@ -10,7 +10,8 @@
 /// immediately.
 class scheduler_world {
 public:
-    scheduler_world() : decisions(scheduler_options(), this->time.function(), this->state)
+    explicit scheduler_world(const scheduler_options& options = scheduler_options())
+        : decisions(options, this->time.function(), this->state)
     {
         job_configuration made;
         made.version = 1;
@@ -100,7 +101,8 @@
         const worker_incarnation worker = this->state.find(run.task)->worker;
         const ended_run listed{this->state.last_recorded_end(worker) + 1, run, outcome, ""};
         this->decisions.record_run_end(worker, listed);
-        this->state.apply(record_ended_runs{worker, {listed}, this->unix_ms, true});
+        this->state.apply(record_ended_runs{
+            worker, {listed}, this->unix_ms, true, {this->decisions.run_time_ms(run)}});
     }
 
     /// Adds a worker and a run of another account that has used all of its accelerators for 500 ms.
--- a/src/libscheduler/scheduler_service_crashes.cpp
+++ b/src/libscheduler/scheduler_service_crashes.cpp
@@ -4,26 +4,11 @@
 #include <spdlog/spdlog.h>
 
 #include "redwingwheel/scheduler_service.h"
+#include "scheduler_service_log.h"
 
 /// Reports of crashed workers.
 namespace redwingwheel::jobs {
 
-namespace {
-
-std::int64_t unix_ms()
-{
-    return std::chrono::duration_cast<milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
-std::string format_task(const task_id& id)
-{
-    return fmt::format("{}.{}.{}.{}", id.job, id.occurrence, id.step, id.index);
-}
-
-} // namespace
-
 /// A supervisor repeats its report in each poll, and reports to each new leader. The state counts
 /// each run once.
 void scheduler_service::propose_reported_crash(const messages::ended_incarnation& ended)
--- a/src/redwingwheeld/daemon.cpp
+++ b/src/redwingwheeld/daemon.cpp
@@ -52,8 +52,11 @@
                                                                 this->traffic));
     cluster::group_service& group = this->services.find<cluster::group_service>("group");
     if (!this->settings.data_folder.empty()) {
-        this->services.add(std::make_unique<jobs::scheduler_service>(
-            jobs::scheduler_options(), group, this->loop, this->metrics));
+        jobs::scheduler_options options;
+        constexpr double percent = 100.0;
+        options.urgent_headroom = this->settings.scheduling.urgent_headroom_percent / percent;
+        this->services.add(
+            std::make_unique<jobs::scheduler_service>(options, group, this->loop, this->metrics));
     }
     if (this->settings.roles.gateway) {
         this->services.add(std::make_unique<platform::gateway_service>(this->settings, group,
