--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -133,6 +133,8 @@
     std::vector<eviction> evictions;
     /// Guaranteed and urgent steps that were not placed completely.
     std::vector<waiting_step> waiting;
+    std::size_t headroom_workers = 0; ///< Workers that ordinary steps leave to urgent ones.
+    double urgent_demand = 0.0;       ///< Accelerators that urgent work is expected to need.
 };
 
 /// Urgency class of a step. Lower values are placed first.
--- a/src/include/redwingwheel/scheduler_service.h
+++ b/src/include/redwingwheel/scheduler_service.h
@@ -79,6 +79,10 @@
     void decide();
     [[nodiscard]] std::string_view loss_reason(const worker_incarnation& worker) const;
     void log_waiting(const std::vector<waiting_step>& waiting);
+    /// Logs a change of the headroom for urgent work.
+    void report_headroom(const schedule& made);
+    /// Compares the time of a run that has ended with the one that was expected.
+    void report_run_time(const ended_run& end, std::int64_t took_ms);
     void propose_advance_time();
 
     cluster::group_service& group;
@@ -108,6 +112,7 @@
     steady_time next_clean_up;
     /// Urgent steps that waited after the last round, with the logged reason.
     std::map<task_id, wait_reason> logged_waits;
+    std::size_t logged_headroom = 0;
 };
 
 } // namespace redwingwheel::jobs
--- a/src/libjobs/scheduler_headroom.cpp
+++ b/src/libjobs/scheduler_headroom.cpp
@@ -53,6 +53,8 @@
     for (const std::size_t each : round.headroom) {
         round.availability[each].in_headroom = true;
     }
+    round.result.headroom_workers = round.headroom.size();
+    round.result.urgent_demand = this->headroom->expected_demand();
 }
 
 /// A step whose data are in a rack of the headroom may use it, since it would take several times
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -225,6 +225,17 @@
     this->logged_waits = std::move(reasons);
 }
 
+void scheduler_service::report_headroom(const schedule& made)
+{
+    if (made.headroom_workers == this->logged_headroom) {
+        return;
+    }
+    this->logged_headroom = made.headroom_workers;
+    this->metrics.set("urgent_headroom_workers", "", static_cast<double>(made.headroom_workers));
+    spdlog::info("event=headroom_changed workers={} urgent_demand={:.0f}", made.headroom_workers,
+                 made.urgent_demand);
+}
+
 /// Returns why the runs of the worker are released.
 std::string_view scheduler_service::loss_reason(const worker_incarnation& worker) const
 {
@@ -240,6 +251,7 @@
     const schedule made = this->job_scheduler.decide(unix_ms());
     this->log_evictions(made.evictions);
     this->log_waiting(made.waiting);
+    this->report_headroom(made);
     const auto on_committed = [this, decided_in =
                                          this->term](const absl::StatusOr<command_result>& result) {
         if (decided_in != this->term) {
--- a/src/libscheduler/scheduler_service_polls.cpp
+++ b/src/libscheduler/scheduler_service_polls.cpp
@@ -5,6 +5,7 @@
 
 #include "redwingwheel/digest.h"
 #include "redwingwheel/packing.h"
+#include "redwingwheel/printable.h"
 #include "scheduler_service_log.h"
 
 /// Polls of the supervisors: their reports, and the orders that answer them.
@@ -127,6 +128,7 @@
         if (end.number <= last_known) {
             continue;
         }
+        this->report_run_time(end, command.run_times_ms.back());
         this->job_scheduler.record_run_end(worker, end);
         this->metrics.add("run_ends_total",
                           fmt::format("how=\"{}\"", run_outcome_name(end.outcome)));
@@ -147,6 +149,19 @@
     });
 }
 
+void scheduler_service::report_run_time(const ended_run& end, std::int64_t took_ms)
+{
+    const job_record* const job = this->state.find(end.run.task.job);
+    if (job == nullptr || took_ms <= 0 || end.outcome != run_outcome::done) {
+        return;
+    }
+    const run_kind kind =
+        kind_of(job->definition.steps[end.run.task.step], job->queue, job->account);
+    const double expected_ms = this->state.durations().predict(kind).median_ms;
+    this->metrics.observe("run_time_ratio", fmt::format("queue=\"{}\"", printable(job->queue)),
+                          static_cast<double>(took_ms) / expected_ms);
+}
+
 void scheduler_service::release_refused_starts(const messages::worker_poll& poll)
 {
     release_runs command;
