Search the slowest worker and the reservations once less for each waiting step

A leader with many waiting steps and hundreds of workers computed the pace of each worker again for each step, and the expected end of each step although nothing was reserved. The pace classes of the round say the first, and without reservations there is nothing to compare.

--- a/src/libjobs/scheduler_eviction.cpp
+++ b/src/libjobs/scheduler_eviction.cpp
@@ -79,10 +79,12 @@
     if (pending.urgency_class != urgency::ordinary || step.gang || step.long_running) {
         return pace_preference::fast;
     }
-    double slowest = 1.0;
-    for (const worker_incarnation& each : round.ids) {
-        slowest = std::max(slowest, this->state.durations().slowdown(each.host));
+    int slowest_class = 0;
+    for (const worker_availability& each : round.availability) {
+        slowest_class = std::max(slowest_class, each.pace_class);
     }
+    // A pace class is a quarter of an octave.
+    const double slowest = std::exp2(slowest_class / 4.0);
     const std::chrono::duration<double, std::milli> left = pending.objective - round.now;
     const double longest_ms = slowest * this->predicted(*pending.job, step).upper_ms;
     return longest_ms <= left.count() ? pace_preference::slow : pace_preference::fast;
--- a/src/libjobs/scheduler_reservations.cpp
+++ b/src/libjobs/scheduler_reservations.cpp
@@ -81,6 +81,9 @@
     scheduling_round& round, const pending_step& pending,
     const std::function<void(worker_availability&, const resources&)>& change) const
 {
+    if (round.active_reservations.empty()) {
+        return;
+    }
     const steady_time end = this->expected_end(round, pending);
     for (const active_reservation& held : round.active_reservations) {
         if (held.owner != pending.id() && held.urgency_class <= pending.urgency_class &&
