--- a/src/include/redwingwheel/packing.h
+++ b/src/include/redwingwheel/packing.h
@@ -25,12 +25,23 @@
     return absl::StatusCode::kInvalidArgument;
 }
 
+/// Appends packed values to a string.
+class string_stream {
+public:
+    explicit string_stream(std::string& to) : out(to) {}
+    void write(const char* data, std::size_t size) { this->out.append(data, size); }
+
+private:
+    std::string& out;
+};
+
 template <class Value>
 [[nodiscard]] std::string pack(const Value& value)
 {
-    msgpack::sbuffer buffer;
-    msgpack::pack(buffer, value);
-    return {buffer.data(), buffer.size()};
+    std::string bytes;
+    string_stream stream(bytes);
+    msgpack::pack(stream, value);
+    return bytes;
 }
 
 /// Deserializes the one value that `bytes` holds. Errors: packing_errc::malformed when the value is
@@ -46,8 +57,11 @@
         constexpr std::size_t max_depth = 32;
         const msgpack::unpack_limit limit(max_length, max_length, max_length, max_length,
                                           max_length, max_depth);
+        // Texts are copied from `bytes` into the value only once.
+        const msgpack::unpack_reference_func refer = [](msgpack::type::object_type, std::size_t,
+                                                        void*) { return true; };
         const msgpack::object_handle handle =
-            msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
+            msgpack::unpack(bytes.data(), bytes.size(), offset, refer, nullptr, limit);
         if (offset != bytes.size()) {
             return make_error(packing_errc::malformed, "bytes after the value");
         }
--- a/src/include/redwingwheel/replication.h
+++ b/src/include/redwingwheel/replication.h
@@ -36,19 +36,25 @@
     /// election still ends within the 3 s lifetime of a permit.
     milliseconds election_timeout{1000};
     milliseconds heartbeat_interval{200};
-    /// A snapshot is taken once this many entries have been applied since the last one.
+    /// A snapshot is taken once this many entries, or entries of this many bytes, have been applied
+    /// since the last one. The bytes bound the log in memory and, with two snapshots, on the disk.
     std::uint64_t snapshot_interval_entries = 20'000;
+    std::size_t snapshot_interval_bytes = std::size_t{8} * 1024 * 1024;
     /// Entries before the end of a snapshot that stay in the log, so that a follower that lags by
     /// fewer entries needs no snapshot transfer.
     std::uint64_t trailing_entries = 2'000;
+    /// Further limit of these entries.
+    std::size_t trailing_bytes = std::size_t{4} * 1024 * 1024;
     /// Maximum payload bytes in one append message; transport frames are limited to 4 MiB.
     std::size_t max_append_bytes = 512 * 1024;
     /// Maximum append messages with entries that a follower has not answered yet.
     std::size_t max_in_flight_messages = 4;
     std::size_t max_snapshot_chunk_bytes = 512 * 1024;
     std::size_t max_command_bytes = default_max_command_bytes;
-    /// Maximum proposals that are queued or not committed yet; further ones fail with `busy`.
+    /// Maximum proposals that are queued or not committed yet, and their bytes; further ones fail
+    /// with `busy`.
     std::size_t max_uncommitted_entries = 50'000;
+    std::size_t max_uncommitted_bytes = std::size_t{16} * 1024 * 1024;
     /// For tests only.
     protocol_mutations mutations;
 };
--- a/src/libreplication/file_log_storage.cpp
+++ b/src/libreplication/file_log_storage.cpp
@@ -55,7 +55,10 @@
 std::string pack_single_record(const Value& value)
 {
     std::string bytes;
-    append_record(bytes, pack(value));
+    append_record(bytes, [&value](std::string& to) {
+        string_stream stream(to);
+        msgpack::pack(stream, value);
+    });
     return bytes;
 }
 
--- a/src/libreplication/memory_log.cpp
+++ b/src/libreplication/memory_log.cpp
@@ -53,9 +53,37 @@
     return index;
 }
 
+std::size_t memory_log::bytes_after(log_index index) const
+{
+    if (index >= this->last().index) {
+        return 0;
+    }
+    const std::uint64_t end = this->end_offsets.back();
+    if (index <= this->base_position.index) {
+        return end - this->end_offsets.front() + this->entries.front().payload.size();
+    }
+    return end - this->end_offsets[index.value - this->base_position.index.value - 1];
+}
+
+log_index memory_log::first_within(std::size_t max_bytes) const
+{
+    log_index first = this->last().index + 1;
+    std::size_t bytes = 0;
+    for (auto entry = this->entries.rbegin(); entry != this->entries.rend(); ++entry) {
+        bytes += entry->payload.size();
+        if (bytes > max_bytes) {
+            break;
+        }
+        first = entry->index;
+    }
+    return first;
+}
+
 void memory_log::append(log_entry entry)
 {
     assert(entry.index == this->last().index + 1);
+    const std::uint64_t start = this->end_offsets.empty() ? 0 : this->end_offsets.back();
+    this->end_offsets.push_back(start + entry.payload.size());
     this->entries.push_back(std::move(entry));
 }
 
@@ -63,6 +91,7 @@
 {
     while (!this->entries.empty() && this->entries.back().index >= first) {
         this->entries.pop_back();
+        this->end_offsets.pop_back();
     }
 }
 
@@ -71,12 +100,14 @@
     while (!this->entries.empty() && this->entries.front().index <= index) {
         this->base_position = {this->entries.front().index, this->entries.front().term};
         this->entries.pop_front();
+        this->end_offsets.pop_front();
     }
 }
 
 void memory_log::reset(log_position position)
 {
     this->entries.clear();
+    this->end_offsets.clear();
     this->base_position = position;
 }
 
--- a/src/libreplication/memory_log.h
+++ b/src/libreplication/memory_log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <deque>
 #include <optional>
 #include <span>
@@ -28,6 +29,13 @@
     /// The index of the first retained entry with the same term as the entry at `index`.
     [[nodiscard]] log_index first_index_with_term(log_index index) const;
 
+    /// Payload bytes of the entries after `index`.
+    [[nodiscard]] std::size_t bytes_after(log_index index) const;
+
+    /// The first entry from which on the payloads total at most `max_bytes`, or the one after the
+    /// last.
+    [[nodiscard]] log_index first_within(std::size_t max_bytes) const;
+
     /// Appends an entry, whose index must follow the last one.
     void append(log_entry entry);
     /// Removes the entry at `first` and all later ones.
@@ -40,6 +48,8 @@
 private:
     log_position base_position;
     std::deque<log_entry> entries;
+    /// For each entry the payload bytes up to its end, counted from the first entry ever appended.
+    std::deque<std::uint64_t> end_offsets;
 };
 
 } // namespace redwingwheel::replication
--- a/src/libreplication/record.cpp
+++ b/src/libreplication/record.cpp
@@ -29,12 +29,20 @@
 } // namespace
 
 void append_record(std::string& out, std::string_view body)
+{
+    append_record(out, [body](std::string& to) { to.append(body); });
+}
+
+void append_record(std::string& out, const std::function<void(std::string&)>& append_body)
 {
     const std::size_t start = out.size();
     out.append(record_magic);
     append_uint32(out, 0);
-    append_uint32(out, static_cast<std::uint32_t>(body.size()));
-    out.append(body);
+    append_uint32(out, 0);
+    append_body(out);
+    std::string length;
+    append_uint32(length, static_cast<std::uint32_t>(out.size() - start - record_header_bytes));
+    out.replace(start + length_offset, length.size(), length);
     std::string crc;
     append_uint32(crc, digest::crc32c(std::string_view(out).substr(start + length_offset)));
     out.replace(start + crc_offset, crc.size(), crc);
--- a/src/libreplication/replica_core.h
+++ b/src/libreplication/replica_core.h
@@ -190,6 +190,8 @@
     log_index commit_index;
     log_index last_applied;
     log_position last_snapshot_position;
+    /// Payload bytes of the entries applied since the last snapshot.
+    std::size_t applied_bytes = 0;
     std::optional<replica_id> leader;
     leadership last_notified;
 
@@ -213,6 +215,7 @@
     std::uint64_t round = 0;
     std::deque<sent_round> recent_rounds;
     std::deque<queued_proposal> queued_proposals;
+    std::size_t queued_bytes = 0;
     /// Callbacks of appended proposals, by index, until the entry is applied.
     std::map<log_index, propose_callback> commit_callbacks;
     std::vector<pending_read> pending_reads;
--- a/src/libreplication/replica_follower.cpp
+++ b/src/libreplication/replica_follower.cpp
@@ -99,6 +99,7 @@
     while (this->last_applied < this->commit_index) {
         this->last_applied = this->last_applied + 1;
         const log_entry& entry = this->log.at(this->last_applied);
+        this->applied_bytes += entry.payload.size();
         if (entry.kind == entry_kind::command) {
             this->hooks.apply(entry);
         }
--- a/src/libreplication/replica_leader.cpp
+++ b/src/libreplication/replica_leader.cpp
@@ -27,6 +27,11 @@
         this->options.max_uncommitted_entries) {
         return done(make_error(replication_errc::busy, "too many commands are waiting"));
     }
+    if (this->queued_bytes + this->log.bytes_after(this->commit_index) + command.size() >
+        this->options.max_uncommitted_bytes) {
+        return done(make_error(replication_errc::busy, "too many bytes are waiting"));
+    }
+    this->queued_bytes += command.size();
     this->queued_proposals.push_back({entry_kind::command, std::move(command), std::move(done)});
 }
 
@@ -87,6 +92,7 @@
     std::map<log_index, propose_callback> failed_callbacks;
     std::vector<pending_read> failed_reads;
     failed_proposals.swap(this->queued_proposals);
+    this->queued_bytes = 0;
     failed_callbacks.swap(this->commit_callbacks);
     failed_reads.swap(this->pending_reads);
     for (const queued_proposal& next : failed_proposals) {
@@ -138,6 +144,7 @@
         entries.push_back(std::move(entry));
     }
     this->queued_proposals.clear();
+    this->queued_bytes = 0;
     this->update_peers();
     this->broadcast(true);
     if (this->stopped()) {
--- a/src/libreplication/replica_snapshot.cpp
+++ b/src/libreplication/replica_snapshot.cpp
@@ -6,19 +6,24 @@
 
 void replica::core::maybe_take_snapshot()
 {
-    if (this->last_applied.value <
-        this->last_snapshot_position.index.value + this->options.snapshot_interval_entries) {
+    const bool due = this->last_applied.value >= this->last_snapshot_position.index.value +
+                                                     this->options.snapshot_interval_entries ||
+                     this->applied_bytes >= this->options.snapshot_interval_bytes;
+    if (!due || this->last_applied == this->last_snapshot_position.index) {
         return;
     }
     const snapshot taken{{this->last_applied, this->log.at(this->last_applied).term},
                          this->members_at(this->last_applied),
                          this->hooks.take_snapshot()};
-    const log_index keep_from = this->last_applied + 1 - this->options.trailing_entries;
+    const log_index keep_from = std::max(
+        this->last_applied + 1 - this->options.trailing_entries,
+        std::min(this->log.first_within(this->options.trailing_bytes), this->last_applied + 1));
     const absl::Status status = this->storage.save_snapshot(taken, keep_from);
     if (!status.ok()) {
         return this->stop(status);
     }
     this->last_snapshot_position = taken.last_included;
+    this->applied_bytes = 0;
     this->log.drop_through(keep_from - 1);
     while (this->member_lists.size() > 1 && this->member_lists[1].index <= this->last_applied) {
         this->member_lists.erase(this->member_lists.begin());
@@ -159,6 +164,7 @@
     this->commit_index = received.last_included.index;
     this->last_applied = received.last_included.index;
     this->last_snapshot_position = received.last_included;
+    this->applied_bytes = 0;
     this->hooks.restore_snapshot(received);
     return true;
 }
--- a/src/libreplication/replica_test.cpp
+++ b/src/libreplication/replica_test.cpp
@@ -122,3 +122,45 @@
     REQUIRE_FALSE(single.node.status().stopped_reason.empty());
     REQUIRE(single.state.empty());
 }
+
+// Load: large commands. Failure: the log takes all memory and the whole disk long before the number
+// of its entries calls for a snapshot.
+TEST_CASE("the bytes of the log are bounded", "[replica]")
+{
+    fake_disk disk;
+    replica_options options;
+    options.snapshot_interval_bytes = 1000;
+    options.trailing_bytes = 300;
+    single_replica single(disk, options);
+    REQUIRE(single.node.form_group({{{5}, "10.0.0.1", "north", true}}).ok());
+    single.node.tick();
+    for (int each = 0; each < 50; ++each) {
+        single.propose(std::string(100, 'a'));
+        single.node.flush();
+        const replica_status status = single.node.status();
+        REQUIRE(status.last_log_index.value - status.snapshot_last_index.value <= 11);
+    }
+    single_replica restarted(disk, options);
+    restarted.node.tick();
+    REQUIRE(restarted.state == single.state);
+}
+
+// Load: large commands while no quorum answers. Failure: they take all memory until one does.
+TEST_CASE("the bytes of uncommitted proposals are bounded", "[replica]")
+{
+    fake_disk disk;
+    replica_options options;
+    options.max_uncommitted_bytes = 1000;
+    single_replica single(disk, options);
+    REQUIRE(single.node.form_group({{{5}, "10.0.0.1", "north", true}}).ok());
+    single.node.tick();
+    for (int each = 0; each < 11; ++each) {
+        single.propose(std::string(100, 'a'));
+    }
+    REQUIRE(single.results.size() == 1);
+    REQUIRE(error_code<replication_errc>(single.results.at(0)) == replication_errc::busy);
+    single.node.flush();
+    single.propose("b");
+    single.node.flush();
+    REQUIRE(single.results.back().ok());
+}
