Keep no record of a task before it starts, and begin occurrences as earlier ones start

What callers saw: 20 jobs of one step with Count 100000, 4 kB each, took 316 MB on every replica; 60 jobs with RepeatCount 10000 and IntervalMs 1, 130 bytes each, 442 MB and 503 for ordinary calls.

Cause: the state had a record for each task of an occurrence as soon as the occurrence began, and all occurrences began when they were due, whether anything could start or not.

Change: task_table holds a record only for tasks that have been started and are not done; adjacent done tasks share one. No more than 64 occurrences of a job are open of which no task has started. The limit is a field of the submission and is 0 in entries of earlier versions, which are applied as then. The scheduler looks at started tasks only where it counted all.

--- a/src/include/redwingwheel/job_model.h
+++ b/src/include/redwingwheel/job_model.h
@@ -47,24 +47,24 @@
 /// A step of a job: a number of identical tasks.
 struct step_definition {
     std::uint32_t tasks = 1;
+    std::uint32_t per_worker_limit = 0; ///< Maximum tasks of the step per worker; 0: no limit.
     resources per_task;
     std::int64_t estimate_ms = 0; ///< Declared duration of one task; 0: unknown.
     /// Indices of earlier steps whose tasks must all be done first.
     std::vector<std::uint32_t> depends_on;
-    bool resumable = false;             ///< Tasks save checkpoints and can resume from them.
-    bool gang = false;                  ///< All tasks run at the same time, or none runs.
-    bool same_rack = false;             ///< Tasks run slower when spread over several racks.
-    std::string required_label;         ///< Workers need this label; empty: any worker.
-    std::string data_rack;              ///< Tasks in other racks run slower; empty: none.
-    std::uint32_t per_worker_limit = 0; ///< Maximum tasks of the step per worker; 0: no limit.
-    bool duplicates_allowed = false;
-    bool long_running = false; ///< Tasks run until the job is cancelled and are restarted.
+    std::string required_label; ///< Workers need this label; empty: any worker.
+    std::string data_rack;      ///< Tasks in other racks run slower; empty: none.
     std::string image;
     std::int64_t latency_target_ms = 0;
-    bool best_effort_cpu = false;       ///< CPU of the tasks is not counted against the worker's
-                                        ///< capacity.
     std::uint32_t disruption_limit = 0; ///< Maximum long-running tasks that the system may
                                         ///< interrupt at the same time.
+    bool resumable = false;             ///< Tasks save checkpoints and can resume from them.
+    bool gang = false;                  ///< All tasks run at the same time, or none runs.
+    bool same_rack = false;             ///< Tasks run slower when spread over several racks.
+    bool duplicates_allowed = false;
+    bool long_running = false;    ///< Tasks run until the job is cancelled and are restarted.
+    bool best_effort_cpu = false; ///< CPU of the tasks is not counted against the worker's
+                                  ///< capacity.
 
     MSGPACK_DEFINE(tasks, per_task, estimate_ms, depends_on, resumable, gang, same_rack,
                    required_label, data_rack, per_worker_limit, duplicates_allowed, long_running,
--- a/src/include/redwingwheel/job_state.h
+++ b/src/include/redwingwheel/job_state.h
@@ -12,6 +12,8 @@
 #include "redwingwheel/duration_model.h"
 #include "redwingwheel/errors.h"
 #include "redwingwheel/job_model.h"
+#include "redwingwheel/packing.h"
+#include "redwingwheel/task_table.h"
 
 /// The replicated state of jobs, which every replica derives from the log, entry by entry.
 namespace redwingwheel::jobs {
@@ -42,7 +44,9 @@
     std::string key;
     job_definition definition;
     std::int64_t now_unix_ms = 0; ///< On the leader's clock.
-    MSGPACK_DEFINE(id, host, path, key, definition, now_unix_ms)
+    /// See job_record::max_unstarted_occurrences; 0 in log entries of earlier versions.
+    std::uint32_t max_unstarted_occurrences = 0;
+    MSGPACK_DEFINE(id, host, path, key, definition, now_unix_ms, max_unstarted_occurrences)
 };
 
 /// Cancels a job. The id of a job that is not known is withdrawn: a submission of the account that
@@ -128,32 +132,8 @@
 
 // --- state --------------------------------------------------------------------------------------
 
-enum class task_phase : std::uint8_t { waiting, assigned, done };
-
-/// A crash of the worker that had just started a run of the task.
-struct crash_record {
-    std::uint32_t run = 0;
-    std::string host;
-    /// All other runs that may have caused the crash were of the same job.
-    bool alone = false;
-    bool observed = true; ///< The supervisor of the worker has observed the crash.
-    MSGPACK_DEFINE(run, host, alone, observed)
-};
-
-struct task_record {
-    task_phase phase = task_phase::waiting;
-    std::uint32_t last_run = 0;
-    std::uint32_t failures = 0;
-    worker_incarnation worker; ///< Worker of the last run.
-    std::string checkpoint;
-    /// Crashes since the last run that did not crash its worker.
-    std::vector<crash_record> crashes;
-    std::uint32_t last_sound_run = 0; ///< Highest run that is known not to have crashed its worker.
-    MSGPACK_DEFINE(phase, last_run, failures, worker, checkpoint, crashes, last_sound_run)
-};
-
 struct step_record {
-    std::vector<task_record> tasks;
+    task_table tasks;
     std::uint32_t done = 0;
     std::uint32_t assigned = 0;
     /// Gangs only: number of runs in which a member failed.
@@ -193,6 +173,9 @@
     /// The last runs of each task that were released and that their workers have not listed as
     /// ended since; without those of long-running tasks.
     std::set<run_id> released_runs;
+    /// No further occurrence begins while this many have begun of which no task has been started;
+    /// 0: no limit.
+    std::uint32_t max_unstarted_occurrences = 0;
 
     [[nodiscard]] bool ended() const { return this->status >= job_status::completed; }
     [[nodiscard]] std::uint32_t occurrence_count() const
@@ -201,7 +184,25 @@
     }
     MSGPACK_DEFINE(queue, service, account, priority, max_attempts, stretch, latency_target_ms,
                    definition, submitted_unix_ms, ended_unix_ms, status, open_occurrences,
-                   begun_occurrences, released_runs)
+                   begun_occurrences, released_runs, max_unstarted_occurrences)
+};
+
+/// The jobs by id. A snapshot holds each job as bytes of its own, so that no more than one of them
+/// is decoded at a time. Reads the plain map of earlier versions as well.
+class job_map : public std::map<std::string, job_record> {
+public:
+    template <class Packer>
+    void msgpack_pack(Packer& packer) const
+    {
+        packer.pack_map(static_cast<std::uint32_t>(this->size()));
+        for (const auto& [id, job] : *this) {
+            const std::string bytes = pack(job);
+            packer.pack(id);
+            packer.pack_bin(static_cast<std::uint32_t>(bytes.size()));
+            packer.pack_bin_body(bytes.data(), static_cast<std::uint32_t>(bytes.size()));
+        }
+    }
+    void msgpack_unpack(const msgpack::object& object);
 };
 
 enum class command_result : std::uint8_t {
@@ -273,14 +274,14 @@
     [[nodiscard]] const account_definition* find_account(std::string_view key) const;
     /// Number of jobs of `queue` that were accepted and of which no task has been assigned yet.
     [[nodiscard]] std::uint64_t count_pending_jobs(std::string_view queue) const;
-    /// True when an occurrence of any job is due at `now_unix_ms` but has not begun.
+    /// True when an occurrence of any job is due at `now_unix_ms` and can begin.
     [[nodiscard]] bool occurrence_due(std::int64_t now_unix_ms) const;
 
 private:
     struct replicated_data {
         job_configuration configuration;
         std::set<std::string> evacuated;
-        std::map<std::string, job_record> jobs;
+        job_map jobs;
         std::map<worker_incarnation, std::uint64_t> last_recorded_ends;
         std::map<worker_incarnation, std::uint64_t> last_superseded_ends;
         /// Unix times in milliseconds at which ids were withdrawn, by account and id.
@@ -343,6 +344,13 @@
 /// more than this; the log is checked again, because every replica would fail on the same entry.
 [[nodiscard]] bool is_well_formed(const job_definition& definition);
 
+/// Largest number of a job's occurrences that are open at the same time although no task of them
+/// has been started. Enough for the scheduler to start any number of them one after the other.
+constexpr std::uint32_t default_max_unstarted_occurrences = 64;
+
+/// True when the job's next occurrence can begin as far as those that have begun are concerned.
+[[nodiscard]] bool can_begin_occurrence(const job_record& job);
+
 /// True when the crashes of the task's workers exceed the limit: it is not started again.
 [[nodiscard]] bool has_crashed_too_often(const step_definition& step, const task_record& task);
 
@@ -355,5 +363,4 @@
 
 } // namespace redwingwheel::jobs
 
-MSGPACK_ADD_ENUM(redwingwheel::jobs::task_phase)
 MSGPACK_ADD_ENUM(redwingwheel::jobs::job_status)
--- a/src/libjobs/job_queries.cpp
+++ b/src/libjobs/job_queries.cpp
@@ -104,7 +104,7 @@
     return std::any_of(this->replicated.jobs.begin(), this->replicated.jobs.end(),
                        [now_unix_ms](const auto& entry) {
                            const job_record& job = entry.second;
-                           return !job.ended() && job.begun_occurrences < job.occurrence_count() &&
+                           return !job.ended() && can_begin_occurrence(job) &&
                                   due_unix_ms(job, job.begun_occurrences) <= now_unix_ms;
                        });
 }
--- a/src/libjobs/job_state.cpp
+++ b/src/libjobs/job_state.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Steps of all open occurrences of a job together, unless a single occurrence has more.
+constexpr std::size_t max_open_steps = 16'384;
+
 /// A task is seldom released so often before a worker that was lost with one of its runs is back.
 constexpr std::ptrdiff_t max_released_runs_of_task = 16;
 
@@ -15,9 +18,10 @@
 {
     occurrence_record occurrence;
     occurrence.due_unix_ms = due_unix_ms;
+    occurrence.steps.reserve(definition.steps.size());
     for (const step_definition& step : definition.steps) {
         step_record record;
-        record.tasks.resize(step.tasks);
+        record.tasks = task_table(step.tasks);
         occurrence.steps.push_back(std::move(record));
     }
     return occurrence;
@@ -29,6 +33,12 @@
                        [](const step_record& step) { return step.done == step.tasks.size(); });
 }
 
+bool is_started(const occurrence_record& occurrence)
+{
+    return std::any_of(occurrence.steps.begin(), occurrence.steps.end(),
+                       [](const step_record& step) { return step.tasks.record_count() > 0; });
+}
+
 /// True when no task of the occurrence is assigned to a worker.
 bool has_no_assigned_task(const occurrence_record& occurrence)
 {
@@ -38,6 +48,24 @@
 
 } // namespace
 
+bool can_begin_occurrence(const job_record& job)
+{
+    if (job.begun_occurrences >= job.occurrence_count()) {
+        return false;
+    }
+    if (job.max_unstarted_occurrences == 0 || job.open_occurrences.empty()) {
+        return true;
+    }
+    const std::size_t steps = job.definition.steps.size();
+    if ((job.open_occurrences.size() + 1) * steps > max_open_steps) {
+        return false;
+    }
+    const auto unstarted =
+        std::count_if(job.open_occurrences.begin(), job.open_occurrences.end(),
+                      [](const auto& entry) { return !is_started(entry.second); });
+    return unstarted < static_cast<std::ptrdiff_t>(job.max_unstarted_occurrences);
+}
+
 bool is_well_formed(const job_definition& definition)
 {
     std::int64_t tasks = 0;
@@ -138,6 +166,7 @@
     job.latency_target_ms = queue->latency_target_ms;
     job.definition = command.definition;
     job.submitted_unix_ms = command.now_unix_ms;
+    job.max_unstarted_occurrences = command.max_unstarted_occurrences;
     this->begin_occurrences(job, command.now_unix_ms);
     this->replicated.jobs.emplace(command.id, std::move(job));
     return command_result::accepted;
@@ -198,7 +227,7 @@
         const task_id& id = each.run.task;
         job_record& job = this->replicated.jobs.at(id.job);
         step_record& step = job.open_occurrences.at(id.occurrence).steps[id.step];
-        task_record& task = step.tasks[id.index];
+        task_record& task = step.tasks.open(id.index);
         task.phase = task_phase::assigned;
         task.last_run = each.run.number;
         task.worker = each.worker;
@@ -245,9 +274,8 @@
         job_record& job = this->replicated.jobs.at(id.job);
         remember_released(job, each.run);
         step_record& step = job.open_occurrences.at(id.occurrence).steps[id.step];
-        task_record& task = step.tasks[id.index];
         store_checkpoint(job.definition.steps[id.step], step, each.run, each.checkpoint, false);
-        this->unassign(each.run, task, step);
+        this->unassign(each.run, step.tasks.open(id.index), step);
         this->close_ended_occurrences(job, id.occurrence, command.now_unix_ms);
     }
     return command_result::accepted;
@@ -316,10 +344,9 @@
     }
     job_record& job = this->replicated.jobs.at(id.job);
     step_record& step = job.open_occurrences.at(id.occurrence).steps[id.step];
-    task_record& task = step.tasks[id.index];
     this->mark_sound(end.run);
-    if (task.phase == task_phase::assigned) {
-        this->unassign(end.run, task, step);
+    if (step.tasks[id.index].phase == task_phase::assigned) {
+        this->unassign(end.run, step.tasks.open(id.index), step);
     }
     store_checkpoint(job.definition.steps[id.step], step, end.run, end.checkpoint,
                      end.outcome == run_outcome::stopped);
@@ -344,7 +371,7 @@
         return;
     }
     if (!definition.gang) {
-        step.tasks[run.task.index].checkpoint = checkpoint;
+        step.tasks.open(run.task.index).checkpoint = checkpoint;
         return;
     }
     if (step.checkpoint_run == run.number && step.checkpoint_from_stop && !from_stop) {
@@ -352,8 +379,10 @@
     }
     step.checkpoint_run = run.number;
     step.checkpoint_from_stop = from_stop;
-    for (task_record& member : step.tasks) {
-        member.checkpoint = checkpoint;
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+        if (step.tasks[index].phase != task_phase::done) {
+            step.tasks.open(index).checkpoint = checkpoint;
+        }
     }
 }
 
@@ -361,16 +390,18 @@
 void job_state::mark_tasks_done(const step_definition& definition, step_record& step,
                                 const task_id& ended)
 {
+    const std::uint32_t first = definition.gang ? 0 : ended.index;
+    const std::uint32_t end = definition.gang ? step.tasks.size() : ended.index + 1;
     task_id id = ended;
-    for (id.index = 0; id.index < step.tasks.size(); ++id.index) {
-        task_record& task = step.tasks[id.index];
-        if (task.phase == task_phase::done || (!definition.gang && id.index != ended.index)) {
+    for (id.index = first; id.index < end; ++id.index) {
+        if (step.tasks[id.index].phase == task_phase::done) {
             continue;
         }
-        if (task.phase == task_phase::assigned) {
+        if (step.tasks[id.index].phase == task_phase::assigned) {
+            task_record& task = step.tasks.open(id.index);
             this->unassign({id, task.last_run}, task, step);
         }
-        task.phase = task_phase::done;
+        step.tasks.mark_done(id.index);
         ++step.done;
     }
 }
@@ -380,7 +411,7 @@
     const task_id& id = end.run.task;
     const step_definition& definition = job.definition.steps[id.step];
     step_record& step = job.open_occurrences.at(id.occurrence).steps[id.step];
-    std::uint32_t failures = ++step.tasks[id.index].failures;
+    std::uint32_t failures = ++step.tasks.open(id.index).failures;
     if (definition.gang) {
         if (step.last_failed_run != end.run.number) {
             step.last_failed_run = end.run.number;
@@ -429,7 +460,7 @@
 
 void job_state::begin_occurrences(job_record& job, std::int64_t now_unix_ms)
 {
-    while (!job.ended() && job.begun_occurrences < job.occurrence_count() &&
+    while (!job.ended() && can_begin_occurrence(job) &&
            due_unix_ms(job, job.begun_occurrences) <= now_unix_ms) {
         job.open_occurrences.emplace(
             job.begun_occurrences,
@@ -444,11 +475,10 @@
     for (const auto& [name, job] : this->replicated.jobs) {
         for (const auto& [number, occurrence] : job.open_occurrences) {
             for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-                const std::vector<task_record>& tasks = occurrence.steps[step].tasks;
-                for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-                    if (tasks[index].phase == task_phase::assigned) {
-                        this->runs_by_worker[tasks[index].worker].insert(
-                            {{name, number, step, index}, tasks[index].last_run});
+                for (const auto& [index, task] : occurrence.steps[step].tasks.started()) {
+                    if (task.phase == task_phase::assigned) {
+                        this->runs_by_worker[task.worker].insert(
+                            {{name, number, step, index}, task.last_run});
                     }
                 }
             }
@@ -456,6 +486,28 @@
     }
 }
 
+void job_map::msgpack_unpack(const msgpack::object& object)
+{
+    if (object.type != msgpack::type::MAP) {
+        throw msgpack::type_error();
+    }
+    this->clear();
+    for (std::uint32_t each = 0; each < object.via.map.size; ++each) {
+        const msgpack::object_kv& entry = object.via.map.ptr[each];
+        job_record& job = (*this)[entry.key.as<std::string>()];
+        if (entry.val.type != msgpack::type::BIN) {
+            entry.val.convert(job);
+            continue;
+        }
+        absl::StatusOr<job_record> read =
+            unpack<job_record>({entry.val.via.bin.ptr, entry.val.via.bin.size});
+        if (!read.ok()) {
+            throw msgpack::type_error();
+        }
+        job = *std::move(read);
+    }
+}
+
 std::string job_state::pack_snapshot() const
 {
     return pack(this->replicated);
--- a/src/libjobs/run_times.cpp
+++ b/src/libjobs/run_times.cpp
@@ -32,7 +32,7 @@
     if (definition.gang) {
         const step_record& step =
             job.open_occurrences.at(end.run.task.occurrence).steps[end.run.task.step];
-        for (const task_record& member : step.tasks) {
+        for (const auto& [index, member] : step.tasks.started()) {
             alone = alone && member.worker.host == task->worker.host;
             if (this->durations().slowdown(member.worker.host) >
                 this->durations().slowdown(slowest_host)) {
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -317,8 +317,10 @@
     const step_record& record =
         pending.job->open_occurrences.at(pending.occurrence).steps[pending.step];
     std::uint32_t gang_run = 0;
-    for (const task_record& task : record.tasks) {
-        gang_run = std::max(gang_run, task.last_run);
+    if (step.gang) {
+        for (const auto& [index, task] : record.tasks.started()) {
+            gang_run = std::max(gang_run, task.last_run);
+        }
     }
     assign_runs command;
     command.now_unix_ms = round.now_unix_ms;
--- a/src/libjobs/scheduler_eviction.cpp
+++ b/src/libjobs/scheduler_eviction.cpp
@@ -107,8 +107,7 @@
     }
     const step_record& record =
         pending.job->open_occurrences.at(pending.occurrence).steps[pending.step];
-    const bool has_started = std::any_of(record.tasks.begin(), record.tasks.end(),
-                                         [](const task_record& task) { return task.last_run > 0; });
+    const bool has_started = record.tasks.record_count() > 0;
     const milliseconds since_due =
         std::chrono::duration_cast<milliseconds>(round.now - pending.due);
     const milliseconds since_waiting =
@@ -263,17 +262,19 @@
     if (definition.disruption_limit == 0) {
         return record.tasks.size();
     }
-    std::size_t away = 0;
-    task_id task = step;
-    for (task.index = 0; task.index < record.tasks.size(); ++task.index) {
-        const run_id run{task, record.tasks[task.index].last_run};
+    std::size_t at_work = 0;
+    task_id id = step;
+    for (const auto& [index, task] : record.tasks.started()) {
+        id.index = index;
+        const run_id run{id, task.last_run};
         const auto known = this->runs.find(run);
-        const bool at_work = record.tasks[task.index].phase == task_phase::assigned &&
-                             known != this->runs.end() && known->second.listed &&
-                             known->second.percent >= at_work_percent &&
-                             !this->evicting.contains(run);
-        away += at_work ? 0 : 1;
+        at_work += task.phase == task_phase::assigned && known != this->runs.end() &&
+                           known->second.listed && known->second.percent >= at_work_percent &&
+                           !this->evicting.contains(run)
+                       ? 1
+                       : 0;
     }
+    const std::size_t away = record.tasks.size() - at_work;
     return definition.disruption_limit - std::min<std::size_t>(away, definition.disruption_limit);
 }
 
--- a/src/libjobs/scheduler_runs.cpp
+++ b/src/libjobs/scheduler_runs.cpp
@@ -144,16 +144,21 @@
 std::vector<run_id> scheduler::runs_stopped_together(const run_id& run) const
 {
     const job_record& job = *this->state.find(run.task.job);
-    const std::vector<task_record>& tasks =
-        job.open_occurrences.at(run.task.occurrence).steps[run.task.step].tasks;
+    const step_record& record = job.open_occurrences.at(run.task.occurrence).steps[run.task.step];
+    const auto is_assigned = [&run](const task_record& task) {
+        return task.phase == task_phase::assigned && task.last_run == run.number;
+    };
     std::vector<run_id> found;
-    run_id each = run;
-    for (each.task.index = 0; each.task.index < tasks.size(); ++each.task.index) {
-        const bool stops =
-            each.task.index == run.task.index || job.definition.steps[run.task.step].gang;
-        const task_record& task = tasks[each.task.index];
-        if (stops && task.phase == task_phase::assigned && task.last_run == run.number) {
-            found.push_back(each);
+    if (!job.definition.steps[run.task.step].gang) {
+        if (is_assigned(record.tasks[run.task.index])) {
+            found.push_back(run);
+        }
+        return found;
+    }
+    for (const auto& [index, task] : record.tasks.started()) {
+        if (is_assigned(task)) {
+            found.push_back(run);
+            found.back().task.index = index;
         }
     }
     return found;
--- a/src/libjobs/scheduler_waiting.cpp
+++ b/src/libjobs/scheduler_waiting.cpp
@@ -128,6 +128,12 @@
     const std::set<std::string> hosts_crashed = this->crashed_hosts(pending);
     const step_record& record =
         pending.job->open_occurrences.at(pending.occurrence).steps[pending.step];
+    std::map<worker_incarnation, std::uint32_t> tasks_by_worker;
+    if (step.per_worker_limit > 0) {
+        for (const auto& [index, task] : record.tasks.started()) {
+            tasks_by_worker[task.worker] += task.phase == task_phase::assigned ? 1 : 0;
+        }
+    }
     for (std::size_t each = 0; each < round.availability.size(); ++each) {
         const tracked_worker& known = this->workers.at(round.ids[each]);
         const worker_description& worker = known.description;
@@ -144,11 +150,9 @@
         entry.suspect = is_suspect || known.trust.is_on_trial(round.now) ||
                         failed.contains(round.ids[each].id) ||
                         hosts_crashed.contains(round.ids[each].host);
-        entry.tasks_of_step = static_cast<std::uint32_t>(
-            std::count_if(record.tasks.begin(), record.tasks.end(),
-                          [&id = round.ids[each]](const task_record& task) {
-                              return task.phase == task_phase::assigned && task.worker == id;
-                          }));
+        const auto tasks_on_worker = tasks_by_worker.find(round.ids[each]);
+        entry.tasks_of_step =
+            tasks_on_worker == tasks_by_worker.end() ? 0 : tasks_on_worker->second;
     }
 }
 
--- a/src/libjobs/worker_crashes.cpp
+++ b/src/libjobs/worker_crashes.cpp
@@ -79,7 +79,8 @@
 void job_state::mark_sound(const run_id& run)
 {
     const task_record* const known = this->find(run.task);
-    if (known == nullptr || run.number > known->last_run || run.number <= known->last_sound_run) {
+    if (known == nullptr || known->phase == task_phase::done || run.number > known->last_run ||
+        run.number <= known->last_sound_run) {
         return;
     }
     task_record& task = this->task_at(run.task);
@@ -92,7 +93,7 @@
 {
     occurrence_record& occurrence =
         this->replicated.jobs.at(id.job).open_occurrences.at(id.occurrence);
-    return occurrence.steps[id.step].tasks[id.index];
+    return occurrence.steps[id.step].tasks.open(id.index);
 }
 
 } // namespace redwingwheel::jobs
--- a/src/libscheduler/scheduler_service_calls.cpp
+++ b/src/libscheduler/scheduler_service_calls.cpp
@@ -87,7 +87,8 @@
                  first.estimate_ms, call.definition.occurrences,
                  this->state.configuration().version);
     this->commit_change(
-        call, submit_job{call.job, call.host, call.path, call.key, call.definition, unix_ms()},
+        call, submit_job{call.job, call.host, call.path, call.key, call.definition, unix_ms(),
+                   default_max_unstarted_occurrences},
         answer);
 }
 
