Bound the cost of a scheduling round, and the runs and orders of a worker

What callers saw: with many waiting jobs the leader's control thread did nothing but scheduling rounds, and calls got 503 or 504. Tasks that need no resources all start on one worker, whose orders then exceed a frame of 4 MiB.

Cause: each round, every 25 ms, tried to place every waiting step with all its tasks, and each urgent one searched all runs for an eviction. Nothing limited the runs of a worker.

Change: a round places 512 steps, half of them the most urgent ones and the others in turn; 64 search for an eviction; 256 tasks of a step and 256 steps of a job are considered. After a round of more than 20 ms the next one waits for twice its duration. A worker has 256 runs at most, and the starts in one answer carry 512 KiB. Limits of the largest kind met on the users' deployments are far below these.

The new cases of job_bounds_test show that steps which fit nowhere starve no others.

--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -97,6 +97,14 @@
     /// Time from the decision to stop a run until another one has started in its place: a round
     /// trip to the supervisor, the run's grace period and the next start.
     milliseconds eviction_time{2000};
+    /// Runs that a worker has at the same time at most, whatever they need. Their orders and
+    /// reports fit into one frame.
+    std::size_t max_runs_per_worker = 256;
+    /// Steps that are placed in a round at most. Half of them are the most urgent ones.
+    std::size_t max_steps_per_round = 512;
+    /// Searches for runs to evict in a round at most, which cost far more than a placement. Half of
+    /// them are for the most urgent steps, the others for the rest in turn.
+    std::size_t max_eviction_searches = 64;
 };
 
 /// A run that is stopped, for the log.
@@ -109,6 +117,7 @@
 /// Why some tasks of a step were not placed.
 enum class wait_reason : std::uint8_t {
     no_room,           ///< No eviction that is allowed would free enough resources.
+    not_searched,      ///< Too many steps are waiting; its turn to search comes later.
     eviction_too_dear, ///< More work would be lost than the eviction limit allows.
     room_is_freed,     ///< Resources are reserved for it and are being freed.
 };
@@ -251,6 +260,10 @@
         std::uint32_t short_runs = 0;
         steady_time not_before;
     };
+    struct kept_path {
+        milliseconds duration{0};
+        steady_time expires_at;
+    };
     struct reservation {
         steady_time made_at;
         std::vector<worker_incarnation> workers;
@@ -348,7 +361,16 @@
     void compute_available_resources(scheduling_round& round) const;
     [[nodiscard]] std::size_t runs_on_trial(const worker_incarnation& worker,
                                             const worker_trust& trust) const;
-    [[nodiscard]] std::vector<pending_step> pending_steps(const scheduling_round& round) const;
+    [[nodiscard]] std::vector<pending_step> pending_steps(const scheduling_round& round);
+    [[nodiscard]] std::vector<std::uint32_t> startable_tasks(const scheduling_round& round,
+                                                             const pending_step& pending,
+                                                             const step_record& record) const;
+    /// The job's critical path, for large jobs as it was some seconds ago.
+    [[nodiscard]] milliseconds critical_path(const scheduling_round& round, const std::string& id,
+                                             const job_record& job);
+    /// Positions of the steps that are placed in this round, in order: the most urgent ones, and
+    /// some of the others in turn.
+    [[nodiscard]] std::vector<std::size_t> steps_to_place(std::size_t waiting);
     [[nodiscard]] std::set<std::string> guaranteed_jobs() const;
     [[nodiscard]] bool is_silent(const scheduling_round& round, const tracked_worker& worker) const;
     void update_eligibility(scheduling_round& round, const pending_step& pending) const;
@@ -368,6 +390,8 @@
     void place(scheduling_round& round, const pending_step& pending);
     void assign(scheduling_round& round, const pending_step& pending,
                 const std::vector<std::size_t>& worker_indices);
+    /// True when the next step in this round that needs an eviction may search for one.
+    [[nodiscard]] bool may_search_eviction(scheduling_round& round) const;
     /// Returns why the step waits.
     waiting_step free_resources(scheduling_round& round, const pending_step& pending,
                                 const placement_request& request);
@@ -432,6 +456,13 @@
     std::map<task_id, std::uint32_t> progressed_runs;
     /// When each pending step was first excluded from a worker for isolation.
     std::map<isolation_key, steady_time> isolation_since;
+    /// Critical paths of the jobs with many steps.
+    std::map<std::string, kept_path> critical_paths;
+    std::size_t rounds = 0; ///< Number of scheduling rounds.
+    /// Where the turn of the less urgent steps continues, and that of their searches for runs to
+    /// evict.
+    std::size_t next_turn = 0;
+    std::size_t next_search = 0;
     steady_time leading_since;
     std::unique_ptr<urgent_headroom> headroom;
 };
--- a/src/include/redwingwheel/scheduler_service.h
+++ b/src/include/redwingwheel/scheduler_service.h
@@ -108,6 +108,8 @@
     /// Number of commands of the last scheduling round that are not committed yet.
     std::size_t uncommitted_decisions = 0;
     steady_time next_full_round;
+    /// Set after a long round, so that rounds leave most of the thread to everything else.
+    steady_time next_round;
     steady_time next_occurrence_check;
     steady_time next_clean_up;
     /// Urgent steps that waited after the last round, with the logged reason.
--- a/src/libjobs/job_bounds_test.cpp
+++ b/src/libjobs/job_bounds_test.cpp
@@ -146,3 +146,67 @@
     CHECK(state.find(task_id{"a", 0, 0, 0})->last_run == 2);
     CHECK(state.find(task_id{"a", 0, 0, 2})->phase == task_phase::waiting);
 }
+
+// Failure: steps that no worker can run keep the leader from placing anybody else's.
+TEST_CASE("a crowd of steps that fit nowhere does not starve the others")
+{
+    scheduler_options options;
+    options.max_steps_per_round = 8;
+    scheduler_world world(options);
+    world.add_worker("a", "r1");
+    step_definition hopeless;
+    hopeless.required_label = "missing";
+    hopeless.estimate_ms = 1;
+    for (int each = 0; each < 200; ++each) {
+        world.submit_step("crowd" + std::to_string(each), "urgent", hopeless);
+    }
+    world.submit("ordinary", "batch", 1, 1);
+    for (int round = 0; round < 60 && world.workers_of("ordinary").empty(); ++round) {
+        world.decide();
+    }
+    CHECK(world.workers_of("ordinary") == std::set<std::string>{"a"});
+}
+
+// Failure: tasks that need nothing are all started at once on one worker, whose orders then do not
+// fit into a message.
+TEST_CASE("a worker has a limited number of runs, and a step starts all its tasks in the end")
+{
+    scheduler_options options;
+    options.max_runs_per_worker = 4;
+    scheduler_world world(options);
+    world.add_worker("a", "r1");
+    step_definition step;
+    step.tasks = 10;
+    world.submit_step("wide", "batch", step);
+    std::size_t ended = 0;
+    for (int round = 0; round < 10; ++round) {
+        world.decide();
+        const std::set<run_id> running = world.state.runs_on(world.workers["a"].incarnation);
+        CHECK(running.size() <= options.max_runs_per_worker);
+        for (const run_id& each : running) {
+            world.end_run(each, run_outcome::done);
+            ++ended;
+        }
+    }
+    CHECK(ended == 10);
+    CHECK(world.state.find("wide")->status == job_status::completed);
+}
+
+// Failure: the steps of a job that fit nowhere keep its other steps from starting.
+TEST_CASE("all steps of a large job are considered in turn")
+{
+    scheduler_world world;
+    world.add_worker("a", "r1");
+    job_definition large;
+    large.steps.resize(1000);
+    for (step_definition& each : large.steps) {
+        each.required_label = "missing";
+    }
+    large.steps.back().required_label.clear();
+    REQUIRE(world.state.apply(submit_job{"large", "h", "/batch/large", "key", large,
+                                         world.unix_ms}) == command_result::accepted);
+    for (int round = 0; round < 8; ++round) {
+        world.decide();
+    }
+    CHECK(world.workers_of("large") == std::set<std::string>{"a"});
+}
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -1,5 +1,6 @@
 #include "redwingwheel/scheduler.h"
 
+#include <numeric>
 #include <tuple>
 
 #include "scheduler_round.h"
@@ -42,6 +43,7 @@
     this->due_times.clear();
     this->progressed_runs.clear();
     this->isolation_since.clear();
+    this->critical_paths.clear();
     this->headroom->reset();
     this->leading_since = this->clock();
 }
@@ -182,6 +184,7 @@
     scheduling_round round;
     round.now = this->clock();
     round.now_unix_ms = now_unix_ms;
+    ++this->rounds;
     this->remove_ended_entries();
     this->release_runs_of_lost_workers(round);
     for (const auto& [worker, runs_on_worker] : this->state.assigned_runs()) {
@@ -208,12 +211,34 @@
                      [&key](const pending_step& left, const pending_step& right) {
                          return key(left) < key(right);
                      });
-    for (const pending_step& each : waiting) {
-        this->place(round, each);
+    for (const std::size_t each : this->steps_to_place(waiting.size())) {
+        this->place(round, waiting[each]);
     }
+    const std::size_t half = this->options.max_eviction_searches / 2;
+    this->next_search =
+        round.eviction_candidates > 2 * half + this->next_search ? this->next_search + half : 0;
     return std::move(round.result);
 }
 
+std::vector<std::size_t> scheduler::steps_to_place(std::size_t waiting)
+{
+    const std::size_t limit = this->options.max_steps_per_round;
+    std::vector<std::size_t> positions(std::min(waiting, limit));
+    std::iota(positions.begin(), positions.end(), std::size_t{0});
+    if (waiting <= limit) {
+        return positions;
+    }
+    // Steps that fit nowhere must not keep the others from being looked at.
+    const std::size_t urgent = limit / 2;
+    const std::size_t others = waiting - urgent;
+    for (std::size_t each = urgent; each < limit; ++each) {
+        positions[each] = urgent + (this->next_turn + each - urgent) % others;
+    }
+    this->next_turn = (this->next_turn + limit - urgent) % others;
+    std::sort(positions.begin() + static_cast<std::ptrdiff_t>(urgent), positions.end());
+    return positions;
+}
+
 /// Converts the due time of each occurrence to the steady clock when this leader first sees it, so
 /// that later steps of the wall clock change neither how long it has waited nor its objective.
 void scheduler::update_due_times(const scheduling_round& round)
@@ -254,14 +279,23 @@
     std::erase_if(this->runs, [&is_over](const auto& each) { return is_over(each.first); });
     std::erase_if(this->evicting, [&is_over](const auto& each) { return is_over(each.first); });
     std::erase_if(this->releasing, is_over);
-    std::erase_if(this->failed_on,
-                  [this](const auto& each) { return this->state.find(each.first) == nullptr; });
     std::erase_if(this->restart_paces,
                   [this](const auto& each) { return this->state.find(each.first) == nullptr; });
     std::erase_if(this->reservations,
                   [this](const auto& each) { return this->state.find(each.first) == nullptr; });
+    // Neither matters for a task that is done.
+    const auto is_closed = [this](const task_id& id) {
+        const task_record* const task = this->state.find(id);
+        return task == nullptr || task->phase == task_phase::done;
+    };
+    std::erase_if(this->failed_on,
+                  [&is_closed](const auto& each) { return is_closed(each.first); });
     std::erase_if(this->progressed_runs,
-                  [this](const auto& each) { return this->state.find(each.first) == nullptr; });
+                  [&is_closed](const auto& each) { return is_closed(each.first); });
+    std::erase_if(this->critical_paths, [this](const auto& each) {
+        const job_record* const job = this->state.find(each.first);
+        return job == nullptr || job->ended();
+    });
     const steady_time now = this->clock();
     std::erase_if(this->workers, [this, now](const auto& each) {
         return (each.second.ended || each.second.permit_until + std::chrono::seconds(60) < now) &&
@@ -299,6 +333,10 @@
         worker.available -= *occupied;
         worker.suspect = known.trust.is_suspect(round.now);
         worker.pace_class = pace_class_of(this->state.durations().slowdown(incarnation.host));
+        const std::size_t running = this->state.runs_on(incarnation).size();
+        worker.max_new_tasks =
+            static_cast<std::uint32_t>(this->options.max_runs_per_worker -
+                                       std::min(running, this->options.max_runs_per_worker));
         if (known.trust.is_on_trial(round.now)) {
             worker.max_new_tasks = this->runs_on_trial(incarnation, known.trust) > 0 ? 0 : 1;
         }
@@ -335,7 +373,7 @@
         run.last_progress = round.now;
         worker_availability& worker = round.availability[worker_indices[each]];
         worker.available -= counted_resources(step);
-        if (worker.max_new_tasks.has_value()) {
+        if (worker.max_new_tasks.value_or(0) > 0) {
             --*worker.max_new_tasks;
         }
         worker_jobs& jobs = round.jobs[worker_indices[each]];
--- a/src/libjobs/scheduler_eviction.cpp
+++ b/src/libjobs/scheduler_eviction.cpp
@@ -150,10 +150,21 @@
     if (this->has_reservation(round, pending)) {
         return {pending.id(), wait_reason::room_is_freed};
     }
+    if (!this->may_search_eviction(round)) {
+        return {pending.id(), wait_reason::not_searched};
+    }
     this->drop_reservation(round, pending.id());
     return this->reserve_by_eviction(round, pending, request);
 }
 
+bool scheduler::may_search_eviction(scheduling_round& round) const
+{
+    const std::size_t position = round.eviction_candidates++;
+    const std::size_t half = this->options.max_eviction_searches / 2;
+    return position < half ||
+           (position >= half + this->next_search && position < 2 * half + this->next_search);
+}
+
 /// Runs on known workers, those of a gang together. Long-running tasks end only when they are
 /// stopped.
 std::vector<scheduler::victim> scheduler::group_runs(const scheduling_round& round,
@@ -402,6 +413,8 @@
     switch (reason) {
     case wait_reason::no_room:
         return "no_room";
+    case wait_reason::not_searched:
+        return "not_searched";
     case wait_reason::eviction_too_dear:
         return "eviction_too_dear";
     case wait_reason::room_is_freed:
--- a/src/libjobs/scheduler_isolation.cpp
+++ b/src/libjobs/scheduler_isolation.cpp
@@ -8,6 +8,10 @@
 
 bool scheduler::has_progressed(const run_id& run) const
 {
+    const task_record* const task = this->state.find(run.task);
+    if (task != nullptr && task->phase == task_phase::done && run.number <= task->last_run) {
+        return true;
+    }
     const auto known = this->progressed_runs.find(run.task);
     return known != this->progressed_runs.end() && known->second >= run.number;
 }
--- a/src/libjobs/scheduler_round.h
+++ b/src/libjobs/scheduler_round.h
@@ -52,6 +52,8 @@
     std::set<std::string> guaranteed;
     std::vector<std::size_t> headroom; ///< Positions of workers that are kept for urgent steps.
     std::vector<active_reservation> active_reservations;
+    /// Steps that needed an eviction so far.
+    std::size_t eviction_candidates = 0;
     /// An ordinary gang has a reservation. Only one at a time has, so that most resources stay
     /// usable.
     bool gang_has_reservation = false;
--- a/src/libjobs/scheduler_waiting.cpp
+++ b/src/libjobs/scheduler_waiting.cpp
@@ -10,6 +10,14 @@
 
 /// The result of a job has no value when the job takes longer than this multiple of its objective.
 constexpr std::int64_t no_value_after_objectives = 3;
+/// Tasks of one step, and steps of one job, that are considered in a round. Bounds the cost of a
+/// round with wide jobs; the others follow in later rounds, as soon as these are placed.
+constexpr std::size_t max_tasks_of_step = 256;
+constexpr std::size_t max_steps_of_job = 256;
+/// Jobs with more steps than this keep their critical path for a while, instead of computing it in
+/// each round.
+constexpr std::size_t min_steps_of_kept_path = 16;
+constexpr milliseconds kept_path_lifetime{5000};
 
 std::int64_t peak_accelerators(const job_definition& definition)
 {
@@ -48,7 +56,7 @@
     return guaranteed;
 }
 
-std::vector<scheduler::pending_step> scheduler::pending_steps(const scheduling_round& round) const
+std::vector<scheduler::pending_step> scheduler::pending_steps(const scheduling_round& round)
 {
     std::vector<pending_step> found;
     for (const auto& [id, job] : this->state.jobs()) {
@@ -56,13 +64,20 @@
             continue;
         }
         const milliseconds critical_path =
-            std::min(milliseconds(this->critical_path_ms(job)), max_time_span);
+            std::min(this->critical_path(round, id, job), max_time_span);
         const double objective_ms = job.stretch * static_cast<double>(critical_path.count()) +
                                     static_cast<double>(job.latency_target_ms);
         const milliseconds allowed(static_cast<std::int64_t>(
             std::clamp(objective_ms, 0.0, static_cast<double>(max_time_span.count()))));
+        const std::size_t found_before = found.size();
+        const std::size_t steps = job.definition.steps.size();
+        // Steps that fit nowhere must not keep the others of the job from being considered.
+        const std::size_t first_step =
+            steps > max_steps_of_job ? this->rounds * max_steps_of_job % steps : 0;
         for (const auto& [number, occurrence] : job.open_occurrences) {
-            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            for (std::size_t each = 0;
+                 each < steps && found.size() < found_before + max_steps_of_job; ++each) {
+                const std::uint32_t step = static_cast<std::uint32_t>((first_step + each) % steps);
                 const step_record& record = occurrence.steps[step];
                 const step_definition& definition = job.definition.steps[step];
                 const bool gang_is_running = definition.gang && record.assigned > 0;
@@ -75,18 +90,11 @@
                 pending.job = &job;
                 pending.occurrence = number;
                 pending.step = step;
-                bool has_paced_task = false;
-                for (std::uint32_t index = 0; index < record.tasks.size(); ++index) {
-                    if (record.tasks[index].phase != task_phase::waiting) {
-                        continue;
-                    }
-                    if (this->is_paced({id, number, step, index}, round.now)) {
-                        has_paced_task = true;
-                        continue;
-                    }
-                    pending.waiting_tasks.push_back(index);
-                }
-                if (pending.waiting_tasks.empty() || (definition.gang && has_paced_task)) {
+                pending.waiting_tasks = this->startable_tasks(round, pending, record);
+                const bool is_whole =
+                    record.done + record.assigned + pending.waiting_tasks.size() ==
+                    record.tasks.size();
+                if (pending.waiting_tasks.empty() || (definition.gang && !is_whole)) {
                     continue;
                 }
                 pending.due = this->due_times.at({id, number});
@@ -107,6 +115,47 @@
     return found;
 }
 
+milliseconds scheduler::critical_path(const scheduling_round& round, const std::string& id,
+                                      const job_record& job)
+{
+    if (job.definition.steps.size() <= min_steps_of_kept_path) {
+        return milliseconds(this->critical_path_ms(job));
+    }
+    kept_path& kept = this->critical_paths[id];
+    if (round.now >= kept.expires_at) {
+        kept = {milliseconds(this->critical_path_ms(job)), round.now + kept_path_lifetime};
+    }
+    return kept.duration;
+}
+
+/// The first waiting tasks of the step that need not be delayed; of a gang all, or none if it is
+/// larger than the workers together.
+std::vector<std::uint32_t> scheduler::startable_tasks(const scheduling_round& round,
+                                                      const pending_step& pending,
+                                                      const step_record& record) const
+{
+    const step_definition& definition = pending.definition();
+    const std::size_t size = record.tasks.size();
+    const bool is_limited = !definition.gang;
+    if (!is_limited && size > round.availability.size() * this->options.max_runs_per_worker) {
+        return {};
+    }
+    // A paced task has been started before.
+    const std::size_t paced = definition.long_running ? this->restart_paces.size() : 0;
+    std::vector<std::uint32_t> tasks =
+        record.tasks.waiting(is_limited ? max_tasks_of_step + paced : size);
+    if (paced > 0) {
+        std::erase_if(tasks, [this, &round, id = pending.id()](std::uint32_t index) mutable {
+            id.index = index;
+            return this->is_paced(id, round.now);
+        });
+    }
+    if (is_limited && tasks.size() > max_tasks_of_step) {
+        tasks.resize(max_tasks_of_step);
+    }
+    return tasks;
+}
+
 bool scheduler::is_silent(const scheduling_round& round, const tracked_worker& worker) const
 {
     return worker.poll_answered_at.has_value() &&
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -16,6 +16,8 @@
 /// Longest time between scheduling rounds. A round also takes place without changes, for decisions
 /// that depend on the time.
 constexpr milliseconds full_round_period{250};
+/// A round that takes longer is followed by a pause of twice its duration.
+constexpr milliseconds long_round{20};
 constexpr milliseconds occurrence_check_period{50};
 /// The status of an ended job can be read for at least this long.
 constexpr std::int64_t ended_job_retention_ms = 180'000;
@@ -178,10 +180,13 @@
     }
     this->propose_advance_time();
     const steady_time now = boot_clock::now();
-    if (this->uncommitted_decisions == 0 && (this->state_changed || now >= this->next_full_round)) {
+    const bool due = this->state_changed || now >= this->next_full_round;
+    if (this->uncommitted_decisions == 0 && due && now >= this->next_round) {
         this->state_changed = false;
         this->next_full_round = now + full_round_period;
         this->decide();
+        const steady_time ended_at = boot_clock::now();
+        this->next_round = now + long_round < ended_at ? ended_at + 2 * (ended_at - now) : now;
     }
     this->answer_polls();
 }
@@ -212,8 +217,14 @@
 {
     std::map<task_id, wait_reason> reasons;
     for (const waiting_step& each : waiting) {
-        reasons[each.step] = each.reason;
         const auto known = this->logged_waits.find(each.step);
+        if (each.reason == wait_reason::not_searched) {
+            if (known != this->logged_waits.end()) {
+                reasons[each.step] = known->second;
+            }
+            continue;
+        }
+        reasons[each.step] = each.reason;
         if (known == this->logged_waits.end() || known->second != each.reason) {
             spdlog::info("event=step_waits job={} step={}.{}.{} reason={} tasks={} guaranteed={} "
                          "eviction_cost_core_s={:.0f} eviction_limit_core_s={:.0f}",
--- a/src/libscheduler/scheduler_service_polls.cpp
+++ b/src/libscheduler/scheduler_service_polls.cpp
@@ -16,6 +16,9 @@
 /// A poll is answered after this time even without new orders. Well below the permit lifetime.
 constexpr milliseconds max_poll_wait{900};
 constexpr milliseconds release_retry_interval{1000};
+/// Payloads and checkpoints of the starts in one answer. The others follow once these are
+/// confirmed.
+constexpr std::size_t max_start_bytes = std::size_t{512} * 1024;
 
 } // namespace
 
@@ -205,6 +208,7 @@
     made.last_recorded_end = this->state.last_recorded_end(worker);
     made.last_superseded_end = this->state.last_superseded_end(worker);
     std::vector<run_id> unconfirmed;
+    std::size_t start_bytes = 0;
     for (const run_id& run : this->state.runs_on(worker)) {
         if (this->job_scheduler.is_releasing(run)) {
             // Not withdrawn either: the supervisor would report it as refused once more.
@@ -216,10 +220,14 @@
         }
         made.desired_runs.push_back(run);
         if (!this->job_scheduler.is_confirmed(run)) {
-            unconfirmed.push_back(run);
             const job_record* const job = this->state.find(run.task.job);
-            made.starts.push_back(
-                {run, job->definition.payload, this->state.find(run.task)->checkpoint});
+            const std::string& checkpoint = this->state.find(run.task)->checkpoint;
+            start_bytes += job->definition.payload.size() + checkpoint.size();
+            if (start_bytes > max_start_bytes && !made.starts.empty()) {
+                continue;
+            }
+            unconfirmed.push_back(run);
+            made.starts.push_back({run, job->definition.payload, checkpoint});
         }
     }
     made.orders_digest =
