Bound the memory of accepted jobs, and share it among their owners

What callers saw: 300 jobs of 7,000 steps took 711 MB on every replica, and jobs of ordinary size about 9 kB each, without end. The state outlived the crowd; a restart replayed it.

Cause: every valid job was accepted.

Change: the leader estimates what a job takes and accepts it into a room of 24 MiB (limits.job_memory_mb). A job may take a quarter of the free room, so that small jobs find room when large ones do not and it is never used up. In the upper half each account, or each queue for callers without a key, has an equal share, and more only as fast as would fill the free room in five minutes. Charges are derived from the replicated state: a new leader sees the same room. A refused job is in no log. A refusal is answered after a quorum has confirmed the leader, and not for a job that is known or being proposed; a resent job is not written to the log again, nor is a configuration that changes nothing. Ended jobs drop their payload and long lists of steps.

Ruled out: a limit for each client, as all come through one address and may have no key; a check when the entry is applied, as refused jobs would fill the log and a replay would depend on the settings.

--- a/src/include/redwingwheel/job_state.h
+++ b/src/include/redwingwheel/job_state.h
@@ -13,6 +13,7 @@
 #include "redwingwheel/errors.h"
 #include "redwingwheel/job_model.h"
 #include "redwingwheel/packing.h"
+#include "redwingwheel/state_room.h"
 #include "redwingwheel/task_table.h"
 
 /// The replicated state of jobs, which every replica derives from the log, entry by entry.
@@ -176,6 +177,9 @@
     /// No further occurrence begins while this many have begun of which no task has been started;
     /// 0: no limit.
     std::uint32_t max_unstarted_occurrences = 0;
+    /// Memory that the job takes, in bytes. Derived, not part of snapshots.
+    std::uint64_t charged_bytes = 0;
+    bool counts_as_pending = false; ///< Derived as well.
 
     [[nodiscard]] bool ended() const { return this->status >= job_status::completed; }
     [[nodiscard]] std::uint32_t occurrence_count() const
@@ -216,6 +220,7 @@
     invalid_job,        ///< The definition is not well-formed; nothing was changed.
     withdrawn_job,      ///< The job was cancelled before it was submitted; nothing was changed.
     too_many_withdrawn, ///< The account has withdrawn too many ids lately; nothing was changed.
+    no_room,            ///< The state has no room for the job; nothing was changed.
 };
 
 /// State machine of the jobs. Deterministic: the same commands in the same order result in the same
@@ -274,6 +279,13 @@
     [[nodiscard]] const account_definition* find_account(std::string_view key) const;
     /// Number of jobs of `queue` that were accepted and of which no task has been assigned yet.
     [[nodiscard]] std::uint64_t count_pending_jobs(std::string_view queue) const;
+    /// Estimated memory of all jobs, in bytes, and of those of one account, or of one queue for
+    /// jobs without an account.
+    [[nodiscard]] std::uint64_t charged_bytes() const { return this->total_charge; }
+    [[nodiscard]] std::uint64_t charged_bytes(const std::string& owner) const;
+    /// Number of accounts and queues that own a job.
+    [[nodiscard]] std::size_t owner_count() const { return this->charges_by_owner.size(); }
+
     /// True when an occurrence of any job is due at `now_unix_ms` and can begin.
     [[nodiscard]] bool occurrence_due(std::int64_t now_unix_ms) const;
 
@@ -323,11 +335,22 @@
     void close_ended_occurrences(job_record& job, std::uint32_t occurrence,
                                  std::int64_t now_unix_ms);
     void begin_occurrences(job_record& job, std::int64_t now_unix_ms);
-    void rebuild_runs_by_worker();
+    /// Closes the occurrences of an ended job that have no assigned task. Once none is open, drops
+    /// what is no longer needed of the job.
+    void release_ended(job_record& job);
+    /// Updates what is derived from the job: what it is charged for, and the pending jobs of its
+    /// queue. Called after each change of the job.
+    void charge(job_record& job);
+    void set_charge(job_record& job, std::uint64_t bytes);
+    void rebuild_derived();
 
     replicated_data replicated;
     /// Assigned runs, derived from `replicated`.
     std::map<worker_incarnation, std::set<run_id>> runs_by_worker;
+    /// Derived from `replicated` as well.
+    std::uint64_t total_charge = 0;
+    std::map<std::string, std::uint64_t> charges_by_owner;
+    std::map<std::string, std::uint64_t, std::less<>> pending_by_queue;
 };
 
 /// Largest number of withdrawn ids of one account that are kept.
@@ -344,6 +367,16 @@
 /// more than this; the log is checked again, because every replica would fail on the same entry.
 [[nodiscard]] bool is_well_formed(const job_definition& definition);
 
+/// Who is charged for the jobs that are submitted to a queue: the account, or without one the
+/// queue.
+[[nodiscard]] std::string owner_of(std::string_view account, std::string_view queue);
+
+/// What the jobs of `state`, which must outlive the result, take of the room.
+[[nodiscard]] room_usage room_usage_of(const job_state& state);
+
+/// Estimated memory in bytes that a job takes until its first task is started.
+[[nodiscard]] std::uint64_t estimated_bytes(const job_definition& definition);
+
 /// Largest number of a job's occurrences that are open at the same time although no task of them
 /// has been started. Enough for the scheduler to start any number of them one after the other.
 constexpr std::uint32_t default_max_unstarted_occurrences = 64;
--- a/src/include/redwingwheel/scheduler_service.h
+++ b/src/include/redwingwheel/scheduler_service.h
@@ -9,6 +9,7 @@
 #include "redwingwheel/job_messages.h"
 #include "redwingwheel/kernel.h"
 #include "redwingwheel/metrics.h"
+#include "redwingwheel/state_room.h"
 
 namespace redwingwheel::jobs {
 
@@ -16,8 +17,9 @@
 /// and serves supervisors and gateways. Runs on the control thread.
 class scheduler_service : public kernel::service {
 public:
-    scheduler_service(const scheduler_options& options, cluster::group_service& group,
-                      kernel::control_loop& control_loop, metrics::registry& counters);
+    scheduler_service(const scheduler_options& options, const room_options& limits,
+                      cluster::group_service& group, kernel::control_loop& control_loop,
+                      metrics::registry& counters);
 
     [[nodiscard]] std::string_view name() const override { return "scheduler"; }
     [[nodiscard]] absl::Status start() override;
@@ -67,7 +69,15 @@
     void answer_polls();
 
     void serve_call(const wire::incoming_request& request, const answer_function& answer);
-    void serve_submit(const messages::job_call& call, const answer_function& answer);
+    void serve_submit(messages::job_call call, const answer_function& answer);
+    /// Proposes a job that has been admitted, unless it is proposed already.
+    void propose_submission(messages::job_call call, const answer_function& answer);
+    /// Answers a submission without a proposal, once it is certain that this replica still leads:
+    /// `refusal`, unless the job is in the state by then.
+    void answer_submission(const messages::job_call& call, command_result refusal,
+                           const answer_function& answer);
+    void serve_configuration(messages::job_call call, const answer_function& answer);
+    void log_refusal(const messages::job_call& call, std::string_view reason) const;
     void serve_read(const messages::job_call& call, const answer_function& answer);
     void commit_change(const messages::job_call& call, const job_command& change,
                        const answer_function& answer);
@@ -90,6 +100,9 @@
     metrics::registry& metrics;
     job_state state;
     scheduler job_scheduler;
+    state_room room;
+    /// Who waits for the result of each proposed submission, by id of the job.
+    std::map<std::string, std::vector<answer_function>> submissions;
     fencing_tokens tokens;
     /// Results of applied commands, by log index, until the proposer has taken them.
     std::map<std::uint64_t, command_result> results;
--- a/src/include/redwingwheel/settings.h
+++ b/src/include/redwingwheel/settings.h
@@ -94,6 +94,8 @@
     std::uint32_t unfinished_kb = 8192; ///< Memory of all unfinished requests together, KiB.
     milliseconds stall{15'000};         ///< Longest time without input in an unfinished request.
     milliseconds request{60'000};       ///< Longest time for a request to arrive.
+    /// Memory that the accepted jobs may take on each replica, MiB.
+    std::uint32_t job_memory_mb = 24;
 };
 
 /// Decisions of the leader that a deployment can ask for.
--- a/src/libconfig/documents_test.cpp
+++ b/src/libconfig/documents_test.cpp
@@ -215,6 +215,7 @@
         {"limits.unfinished_kb", fmt::format("{}", config::limit_settings().unfinished_kb)},
         {"limits.stall_ms", fmt::format("{}", config::limit_settings().stall.count())},
         {"limits.request_ms", fmt::format("{}", config::limit_settings().request.count())},
+        {"limits.job_memory_mb", fmt::format("{}", config::limit_settings().job_memory_mb)},
         {"timing.poll_ms", fmt::format("{}", config::timing_settings().poll.count())},
         {"timing.permit_ms", fmt::format("{}", config::timing_settings().permit.count())},
         {"timing.drain_ms", fmt::format("{}", config::timing_settings().drain.count())}};
--- a/src/libconfig/settings.cpp
+++ b/src/libconfig/settings.cpp
@@ -222,6 +222,7 @@
                 limits.unfinished_kb);
     read_duration(map.optional("stall_ms"), {1'000, 600'000}, limits.stall);
     read_duration(map.optional("request_ms"), {1'000, 600'000}, limits.request);
+    read_number(map.optional("job_memory_mb"), {1, 1'024}, limits.job_memory_mb);
     map.finish();
     return limits;
 }
--- a/src/libjobs/job_bounds_test.cpp
+++ b/src/libjobs/job_bounds_test.cpp
@@ -80,6 +80,7 @@
     job_state wide = configured_state();
     REQUIRE(narrow.apply(submission("a", 1)) == command_result::accepted);
     REQUIRE(wide.apply(submission("a", 100'000)) == command_result::accepted);
+    CHECK(wide.charged_bytes() == narrow.charged_bytes());
     CHECK(wide.count_pending_jobs("q") == 1);
     CHECK(wide.pack_snapshot().size() < narrow.pack_snapshot().size() + 16);
 }
@@ -116,6 +117,29 @@
     CHECK(state.find("a")->open_occurrences.size() == 1000);
 }
 
+// Failure: jobs that have ended or were cancelled keep their payloads until they are forgotten, or
+// count for their owner for ever.
+TEST_CASE("an ended job takes less, and nothing once it is forgotten")
+{
+    job_state state = configured_state();
+    REQUIRE(state.apply(submission("a", 3)) == command_result::accepted);
+    const std::uint64_t waiting = state.charged_bytes();
+    CHECK(state.count_pending_jobs("q") == 1);
+    CHECK(state.charged_bytes(owner_of("", "q")) == waiting);
+    CHECK(waiting >= 1000);
+    state.apply(cancel_job{"a", 2000, ""});
+    CHECK(state.charged_bytes() <= waiting - 1000);
+    CHECK(state.find("a")->definition.payload.empty());
+    CHECK(state.count_pending_jobs("q") == 0);
+    CHECK(state.find("a")->status == job_status::cancelled);
+    job_state restored;
+    REQUIRE(restored.restore_snapshot(state.pack_snapshot()).ok());
+    CHECK(restored.charged_bytes() == state.charged_bytes());
+    state.apply(advance_time{10'000, 9'000});
+    CHECK(state.charged_bytes() == 0);
+    CHECK(state.owner_count() == 0);
+}
+
 // Failure: a replica cannot read the snapshot that it took before an upgrade, or loses its runs.
 TEST_CASE("a snapshot of an earlier version is read")
 {
@@ -145,6 +169,7 @@
     CHECK(state.find(task_id{"a", 0, 0, 0})->phase == task_phase::done);
     CHECK(state.find(task_id{"a", 0, 0, 0})->last_run == 2);
     CHECK(state.find(task_id{"a", 0, 0, 2})->phase == task_phase::waiting);
+    CHECK(state.charged_bytes() > 0);
 }
 
 // Failure: steps that no worker can run keep the leader from placing anybody else's.
--- a/src/libjobs/job_state.cpp
+++ b/src/libjobs/job_state.cpp
@@ -8,6 +8,16 @@
 
 namespace {
 
+/// Estimated memory in bytes, with the overhead of allocations. A job is charged for its record,
+/// and for each of its started tasks also for what the leader tracks of a run.
+constexpr std::uint64_t bytes_of_job = 640;
+constexpr std::uint64_t bytes_of_ended_job = 448;
+constexpr std::uint64_t bytes_of_occurrence = 128;
+constexpr std::uint64_t bytes_of_started_task = 640;
+constexpr std::uint64_t bytes_of_released_run = 128;
+
+/// Steps of an ended job that are kept.
+constexpr std::size_t max_steps_of_ended_job = 16;
 /// Steps of all open occurrences of a job together, unless a single occurrence has more.
 constexpr std::size_t max_open_steps = 16'384;
 
@@ -46,8 +56,69 @@
                        [](const step_record& step) { return step.assigned == 0; });
 }
 
+std::uint64_t bytes_of_steps(const std::vector<step_definition>& steps)
+{
+    std::uint64_t bytes = 0;
+    for (const step_definition& step : steps) {
+        bytes += sizeof(step_definition) + step.depends_on.size() * sizeof(std::uint32_t);
+        for (const std::string* const text : {&step.required_label, &step.data_rack, &step.image}) {
+            // Short texts are part of the object.
+            bytes += text->size() > 15 ? text->size() + 16 : 0;
+        }
+    }
+    return bytes;
+}
+
+std::uint64_t bytes_of_open_occurrence(const job_definition& definition)
+{
+    return bytes_of_occurrence + definition.steps.size() * sizeof(step_record);
+}
+
+/// Occurrences that a job is charged for even if fewer are open.
+std::uint64_t reserved_occurrences(const job_definition& definition)
+{
+    const std::uint64_t steps = std::max<std::uint64_t>(1, definition.steps.size());
+    return std::min({std::max<std::uint64_t>(1, definition.occurrences),
+                     std::uint64_t{default_max_unstarted_occurrences},
+                     std::max<std::uint64_t>(1, max_open_steps / steps)});
+}
+
+std::uint64_t bytes_of_definition(const job_definition& definition)
+{
+    return bytes_of_job + definition.payload.size() + bytes_of_steps(definition.steps);
+}
+
+std::uint64_t current_bytes(const job_record& job)
+{
+    if (job.ended() && job.open_occurrences.empty()) {
+        return bytes_of_ended_job + bytes_of_steps(job.definition.steps) +
+               job.released_runs.size() * bytes_of_released_run;
+    }
+    std::uint64_t records = 0;
+    for (const auto& [number, occurrence] : job.open_occurrences) {
+        for (const step_record& step : occurrence.steps) {
+            records += step.tasks.record_count();
+        }
+    }
+    const std::uint64_t open =
+        std::max<std::uint64_t>(reserved_occurrences(job.definition), job.open_occurrences.size());
+    return bytes_of_definition(job.definition) + open * bytes_of_open_occurrence(job.definition) +
+           records * bytes_of_started_task + job.released_runs.size() * bytes_of_released_run;
+}
+
 } // namespace
 
+std::string owner_of(std::string_view account, std::string_view queue)
+{
+    return account.empty() ? std::string("queue\n").append(queue) : std::string(account);
+}
+
+std::uint64_t estimated_bytes(const job_definition& definition)
+{
+    return bytes_of_definition(definition) +
+           reserved_occurrences(definition) * bytes_of_open_occurrence(definition);
+}
+
 bool can_begin_occurrence(const job_record& job)
 {
     if (job.begun_occurrences >= job.occurrence_count()) {
@@ -168,7 +239,7 @@
     job.submitted_unix_ms = command.now_unix_ms;
     job.max_unstarted_occurrences = command.max_unstarted_occurrences;
     this->begin_occurrences(job, command.now_unix_ms);
-    this->replicated.jobs.emplace(command.id, std::move(job));
+    this->charge(this->replicated.jobs.emplace(command.id, std::move(job)).first->second);
     return command_result::accepted;
 }
 
@@ -182,8 +253,7 @@
     if (!job.ended()) {
         job.status = job_status::cancelled;
         job.ended_unix_ms = command.now_unix_ms;
-        std::erase_if(job.open_occurrences,
-                      [](const auto& entry) { return has_no_assigned_task(entry.second); });
+        this->release_ended(job);
     }
     return command_result::accepted;
 }
@@ -235,6 +305,10 @@
         job.status = job_status::running;
         this->runs_by_worker[each.worker].insert(each.run);
     }
+    // All runs of a command are of one step.
+    if (!command.runs.empty()) {
+        this->charge(this->replicated.jobs.at(command.runs.front().run.task.job));
+    }
     return command_result::accepted;
 }
 
@@ -257,6 +331,7 @@
         const auto job = this->replicated.jobs.find(end.run.task.job);
         if (job != this->replicated.jobs.end()) {
             job->second.released_runs.erase(end.run);
+            this->charge(job->second);
         }
     }
     return command_result::accepted;
@@ -277,19 +352,26 @@
         store_checkpoint(job.definition.steps[id.step], step, each.run, each.checkpoint, false);
         this->unassign(each.run, step.tasks.open(id.index), step);
         this->close_ended_occurrences(job, id.occurrence, command.now_unix_ms);
+        this->charge(job);
     }
     return command_result::accepted;
 }
 
 command_result job_state::apply_command(const advance_time& command)
 {
-    for (auto& [id, job] : this->replicated.jobs) {
+    for (auto each = this->replicated.jobs.begin(); each != this->replicated.jobs.end();) {
+        job_record& job = each->second;
         this->begin_occurrences(job, command.now_unix_ms);
+        const bool is_forgotten = job.ended() && job.open_occurrences.empty() &&
+                                  job.ended_unix_ms < command.forget_ended_before_unix_ms;
+        if (is_forgotten) {
+            this->set_charge(job, 0);
+            each = this->replicated.jobs.erase(each);
+        }
+        else {
+            ++each;
+        }
     }
-    std::erase_if(this->replicated.jobs, [&command](const auto& entry) {
-        return entry.second.ended() && entry.second.open_occurrences.empty() &&
-               entry.second.ended_unix_ms < command.forget_ended_before_unix_ms;
-    });
     for (auto& [account, ids] : this->replicated.withdrawn_ids) {
         std::erase_if(ids, [&command](const auto& entry) {
             return entry.second < command.forget_ended_before_unix_ms;
@@ -447,15 +529,28 @@
     if (found != job.open_occurrences.end() && all_tasks_done(found->second)) {
         job.open_occurrences.erase(found);
     }
-    if (job.ended()) {
-        std::erase_if(job.open_occurrences,
-                      [](const auto& entry) { return has_no_assigned_task(entry.second); });
-    }
     if (!job.ended() && job.open_occurrences.empty() &&
         job.begun_occurrences == job.occurrence_count()) {
         job.status = job_status::completed;
         job.ended_unix_ms = now_unix_ms;
     }
+    if (job.ended()) {
+        this->release_ended(job);
+    }
+}
+
+void job_state::release_ended(job_record& job)
+{
+    std::erase_if(job.open_occurrences,
+                  [](const auto& entry) { return has_no_assigned_task(entry.second); });
+    if (job.open_occurrences.empty()) {
+        std::string().swap(job.definition.payload);
+        // Workers may list runs of the job for a moment, whose resources count until then.
+        if (job.definition.steps.size() > max_steps_of_ended_job) {
+            std::vector<step_definition>().swap(job.definition.steps);
+        }
+    }
+    this->charge(job);
 }
 
 void job_state::begin_occurrences(job_record& job, std::int64_t now_unix_ms)
@@ -469,10 +564,38 @@
     }
 }
 
-void job_state::rebuild_runs_by_worker()
+void job_state::charge(job_record& job)
+{
+    this->set_charge(job, current_bytes(job));
+    const bool is_pending = job.status == job_status::queued;
+    if (is_pending != job.counts_as_pending) {
+        std::uint64_t& pending = this->pending_by_queue[job.queue];
+        is_pending ? ++pending : --pending;
+        job.counts_as_pending = is_pending;
+    }
+}
+
+void job_state::set_charge(job_record& job, std::uint64_t bytes)
+{
+    std::uint64_t& of_owner = this->charges_by_owner[owner_of(job.account, job.queue)];
+    of_owner = of_owner + bytes - job.charged_bytes;
+    this->total_charge = this->total_charge + bytes - job.charged_bytes;
+    job.charged_bytes = bytes;
+    if (of_owner == 0) {
+        this->charges_by_owner.erase(owner_of(job.account, job.queue));
+    }
+}
+
+void job_state::rebuild_derived()
 {
     this->runs_by_worker.clear();
-    for (const auto& [name, job] : this->replicated.jobs) {
+    this->total_charge = 0;
+    this->charges_by_owner.clear();
+    this->pending_by_queue.clear();
+    for (auto& [name, job] : this->replicated.jobs) {
+        job.charged_bytes = 0;
+        job.counts_as_pending = false;
+        this->charge(job);
         for (const auto& [number, occurrence] : job.open_occurrences) {
             for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                 for (const auto& [index, task] : occurrence.steps[step].tasks.started()) {
@@ -520,7 +643,7 @@
         return read.status();
     }
     this->replicated = *std::move(read);
-    this->rebuild_runs_by_worker();
+    this->rebuild_derived();
     return absl::OkStatus();
 }
 
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -1,5 +1,7 @@
 #include "redwingwheel/scheduler_service.h"
 
+#include <utility>
+
 #include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
@@ -27,12 +29,13 @@
 
 } // namespace
 
-scheduler_service::scheduler_service(const scheduler_options& options,
+scheduler_service::scheduler_service(const scheduler_options& options, const room_options& limits,
                                      cluster::group_service& replicated_group,
                                      kernel::control_loop& control_loop,
                                      metrics::registry& counters)
     : group(replicated_group), loop(control_loop), metrics(counters),
-      job_scheduler(options, boot_clock_function(), this->state)
+      job_scheduler(options, boot_clock_function(), this->state),
+      room(limits, boot_clock_function(), room_usage_of(this->state))
 {
     cluster::state_machine_hooks application;
     application.apply = [this](std::uint64_t index, const std::string& command) {
@@ -138,6 +141,14 @@
 {
     this->leading = leads;
     this->term = new_term;
+    const std::map<std::string, std::vector<answer_function>> unanswered =
+        std::exchange(this->submissions, {});
+    for (const auto& [job, waiting] : unanswered) {
+        for (const answer_function& each : waiting) {
+            each(make_error(replication::replication_errc::outcome_unknown,
+                            "leadership has changed during the submission"));
+        }
+    }
     this->uncommitted_decisions = 0;
     this->proposed_end_numbers.clear();
     this->proposed_releases.clear();
@@ -148,6 +159,7 @@
     this->polls.clear();
     if (leads) {
         this->tokens.begin_term(new_term);
+        this->room.begin_leadership();
         this->job_scheduler.begin_leadership();
     }
 }
@@ -263,6 +275,7 @@
     this->log_evictions(made.evictions);
     this->log_waiting(made.waiting);
     this->report_headroom(made);
+    this->metrics.set("job_bytes", "", static_cast<double>(this->state.charged_bytes()));
     const auto on_committed = [this, decided_in =
                                          this->term](const absl::StatusOr<command_result>& result) {
         if (decided_in != this->term) {
--- a/src/libscheduler/scheduler_service_calls.cpp
+++ b/src/libscheduler/scheduler_service_calls.cpp
@@ -1,5 +1,6 @@
 #include "redwingwheel/scheduler_service.h"
 
+#include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
 #include "redwingwheel/packing.h"
@@ -37,7 +38,7 @@
     }
     switch (call->operation) {
     case messages::job_operation::submit:
-        this->serve_submit(*call, answer);
+        this->serve_submit(*std::move(call), answer);
         return;
     case messages::job_operation::cancel:
         if (const command_result result = this->check_caller(*call);
@@ -49,7 +50,7 @@
                             answer);
         return;
     case messages::job_operation::install_configuration:
-        this->commit_change(*call, install_configuration{std::move(call->configuration)}, answer);
+        this->serve_configuration(*std::move(call), answer);
         return;
     case messages::job_operation::evacuate:
         this->commit_change(
@@ -64,32 +65,117 @@
     }
 }
 
-void scheduler_service::serve_submit(const messages::job_call& call, const answer_function& answer)
+void scheduler_service::log_refusal(const messages::job_call& call, std::string_view reason) const
+{
+    spdlog::info("event=job_refused job={} reason={} charged_bytes={} free_bytes={} "
+                 "configuration={}",
+                 call.job, reason, this->state.charged_bytes(), this->room.free_bytes(),
+                 this->state.configuration().version);
+}
+
+void scheduler_service::serve_submit(messages::job_call call, const answer_function& answer)
 {
     command_result result = this->check_caller(call);
     if (result == command_result::accepted && !is_well_formed(call.definition)) {
         result = command_result::invalid_job;
     }
     if (result != command_result::accepted) {
-        spdlog::info("event=job_refused job={} reason={} configuration={}", call.job,
-                     command_result_name(result), this->state.configuration().version);
+        this->log_refusal(call, command_result_name(result));
         answer(pack(messages::job_answer{result, {}, 0, ""}));
         return;
     }
-    const step_definition& first = call.definition.steps.front();
+    if (this->state.find(call.job) != nullptr) {
+        this->answer_submission(call, command_result::stale, answer);
+        return;
+    }
+    this->propose_submission(std::move(call), answer);
+}
+
+void scheduler_service::propose_submission(messages::job_call call, const answer_function& answer)
+{
+    const auto proposed = this->submissions.find(call.job);
+    if (proposed != this->submissions.end()) {
+        proposed->second.push_back(answer);
+        return;
+    }
     const queue_definition& queue = *this->state.find_queue(call.host, call.path);
+    const std::string owner = owner_of(this->account_name(call), queue.name);
+    const std::uint64_t bytes = estimated_bytes(call.definition);
+    const room_verdict verdict = this->room.admit(owner, bytes);
+    if (verdict != room_verdict::accepted) {
+        this->metrics.add("jobs_without_room_total",
+                          fmt::format("reason=\"{}\"", room_verdict_name(verdict)));
+        this->log_refusal(call, room_verdict_name(verdict));
+        this->answer_submission(call, command_result::no_room, answer);
+        return;
+    }
+    const step_definition& first = call.definition.steps.front();
     spdlog::info("event=job_submitted job={} queue={} priority={} account={} steps={} tasks={} "
                  "cpu_millis={} accelerators={} gang={} same_rack={} resumable={} estimate_ms={} "
-                 "occurrences={} configuration={}",
+                 "occurrences={} bytes={} configuration={}",
                  call.job, queue.name, queue.priority, this->account_name(call),
                  call.definition.steps.size(), first.tasks, first.per_task.cpu_millis,
                  first.per_task.accelerators, first.gang, first.same_rack, first.resumable,
-                 first.estimate_ms, call.definition.occurrences,
+                 first.estimate_ms, call.definition.occurrences, bytes,
                  this->state.configuration().version);
-    this->commit_change(
-        call, submit_job{call.job, call.host, call.path, call.key, call.definition, unix_ms(),
-                   default_max_unstarted_occurrences},
-        answer);
+    this->submissions[call.job].push_back(answer);
+    const std::string job = call.job;
+    const auto answer_all = [this, owner, bytes, job,
+                             decided_in = this->term](const absl::StatusOr<std::string>& made) {
+        if (decided_in == this->term) {
+            this->room.settle(owner, bytes);
+        }
+        const std::vector<answer_function> waiting = std::move(this->submissions[job]);
+        this->submissions.erase(job);
+        for (const answer_function& each : waiting) {
+            each(made);
+        }
+    };
+    const submit_job change{call.job,
+                            std::move(call.host),
+                            std::move(call.path),
+                            std::move(call.key),
+                            std::move(call.definition),
+                            unix_ms(),
+                            default_max_unstarted_occurrences};
+    this->commit_change(call, change, answer_all);
+}
+
+void scheduler_service::answer_submission(const messages::job_call& call, command_result refusal,
+                                          const answer_function& answer)
+{
+    this->group.confirm_leadership(
+        [this, job = call.job, refusal, answer](const absl::Status& is_confirmed) {
+            if (!is_confirmed.ok()) {
+                answer(is_confirmed);
+                return;
+            }
+            const bool known = this->state.find(job) != nullptr;
+            const command_result result = known ? command_result::accepted : refusal;
+            answer(pack(messages::job_answer{result, {}, 0, ""}));
+        });
+}
+
+/// A configuration that would change nothing is not written to the log, since it may be large.
+void scheduler_service::serve_configuration(messages::job_call call, const answer_function& answer)
+{
+    if (call.configuration.version > this->state.configuration().version) {
+        this->commit_change(call, install_configuration{std::move(call.configuration)}, answer);
+        return;
+    }
+    this->group.confirm_leadership([this, configuration = std::move(call.configuration),
+                                    answer](const absl::Status& is_confirmed) {
+        if (!is_confirmed.ok()) {
+            answer(is_confirmed);
+            return;
+        }
+        const job_configuration& installed = this->state.configuration();
+        const bool conflicts = configuration.version == installed.version &&
+                               configuration.document != installed.document;
+        const command_result result =
+            conflicts ? command_result::conflicting_version : command_result::accepted;
+        answer(pack(messages::job_answer{result, {}, 0, ""}));
+    });
 }
 
 void scheduler_service::commit_change(const messages::job_call& call, const job_command& change,
--- a/src/libscheduler/scheduler_service_log.cpp
+++ b/src/libscheduler/scheduler_service_log.cpp
@@ -46,6 +46,8 @@
         return "withdrawn_job";
     case command_result::too_many_withdrawn:
         return "too_many_withdrawn";
+    case command_result::no_room:
+        return "no_room";
     }
     return "unknown";
 }
--- a/src/redwingwheeld/daemon.cpp
+++ b/src/redwingwheeld/daemon.cpp
@@ -55,8 +55,9 @@
         jobs::scheduler_options options;
         constexpr double percent = 100.0;
         options.urgent_headroom = this->settings.scheduling.urgent_headroom_percent / percent;
-        this->services.add(
-            std::make_unique<jobs::scheduler_service>(options, group, this->loop, this->metrics));
+        this->services.add(std::make_unique<jobs::scheduler_service>(
+            options, room_of_mb(this->settings.limits.job_memory_mb), group, this->loop,
+            this->metrics));
     }
     if (this->settings.roles.gateway) {
         this->services.add(std::make_unique<platform::gateway_service>(this->settings, group,
