Bound what submissions hold on their way to the leader, and keep refusals true

And a caller could be told 401 or 503 for a job whose first attempt had not been answered: it may still arrive on a silent connection and run.

Cause: no limit at either place; the gateway passed on the answer to the last attempt whatever became of earlier ones.

Change: submissions that a gateway forwards hold 12 MiB at most, configurations as much; one that finds no room gets 503 at once. A submission is packed on arrival, and its decoded form is dropped. At the leader calls that wait for the control thread hold 8 MiB. After an unanswered attempt a refusal that would not hold for the earlier one is answered as unknown (504), so that the caller asks again.

Suspected only: a leader that runs out of memory by waiting calls; no case shows it.

--- a/src/include/redwingwheel/group_service.h
+++ b/src/include/redwingwheel/group_service.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "redwingwheel/byte_budget.h"
 #include "redwingwheel/cluster_messages.h"
 #include "redwingwheel/control_loop.h"
 #include "redwingwheel/kernel.h"
@@ -116,6 +117,8 @@
     std::unique_ptr<control::leader_client> client;
     std::unique_ptr<replica_host> hosted_replica;
     std::unique_ptr<wire::rpc_server> server;
+    /// Of the calls of clients that wait for the control thread.
+    kernel::byte_budget waiting_calls;
     /// By address.
     std::map<std::string, known_peer> peers;
     /// Received while leading in the current term.
--- a/src/include/redwingwheel/job_gateway.h
+++ b/src/include/redwingwheel/job_gateway.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 
+#include "redwingwheel/byte_budget.h"
 #include "redwingwheel/control_loop.h"
 #include "redwingwheel/group_service.h"
 #include "redwingwheel/job_messages.h"
@@ -14,7 +15,8 @@
 namespace redwingwheel::jobs {
 
 enum class gateway_errc {
-    /// No leader accepted the call. It was not carried out and will not be.
+    /// The call was not carried out and will not be: no leader accepted it, or this process has no
+    /// room for it.
     not_carried_out = 1,
     /// The leader's answer was lost. The call may have been carried out.
     unknown,
@@ -38,6 +40,9 @@
     milliseconds probe_period{500};
     /// The gateway is not ready when no leader has answered for this long.
     milliseconds readiness_timeout{2000};
+    /// Memory that submissions may hold while they are forwarded, in bytes, and as much again for
+    /// configurations. More of them are refused.
+    std::size_t max_forwarded_bytes = std::size_t{12} * 1024 * 1024;
 };
 
 /// Forwards calls to the leader and holds no job state. `call` and `leader_reachable` may be called
@@ -78,13 +83,16 @@
     /// Reads the revision that the order rests on, then sends the order.
     void send_evacuation_order(const std::shared_ptr<forwarded_call>& order);
     void send(const std::shared_ptr<forwarded_call>& forwarded);
-    void finish(const forwarded_call& forwarded, const absl::StatusOr<std::string>& body);
+    void finish(const forwarded_call& forwarded, const absl::StatusOr<std::string>& body,
+                bool earlier_unanswered);
 
     gateway_options options;
     cluster::group_service& group;
     kernel::control_loop& loop;
     metrics::registry& metrics;
     kernel::standstill_detector standstills;
+    kernel::byte_budget submission_bytes;
+    kernel::byte_budget configuration_bytes;
     std::atomic<steady_time> last_answer{steady_time()};
     bool was_leader_reachable = false;
 };
--- a/src/include/redwingwheel/leader_client.h
+++ b/src/include/redwingwheel/leader_client.h
@@ -31,6 +31,10 @@
 [[nodiscard]] absl::StatusCode error_category(leader_errc code);
 
 using leader_callback = std::function<void(absl::StatusOr<std::string>)>;
+/// `earlier_unanswered` is true when an earlier attempt of the call was sent and not answered. It
+/// may have been carried out, or may yet be, whatever `body` says.
+using outcome_callback =
+    std::function<void(absl::StatusOr<std::string> body, bool earlier_unanswered)>;
 
 /// Sends calls to the leader of the replication group. When a call fails or a replica is not the
 /// leader, the next call goes to the leader that the replica names, or else to the next known
@@ -79,7 +83,7 @@
     /// As `call`, but once an attempt may have been carried out, retries until `outcome_deadline`
     /// instead of `deadline`, to learn the outcome.
     void call_until_known(messages::kind kind, std::string body, steady_time deadline,
-                          steady_time outcome_deadline, leader_callback done);
+                          steady_time outcome_deadline, outcome_callback done);
 
 private:
     struct retried_call;
--- a/src/libclient/leader_client.cpp
+++ b/src/libclient/leader_client.cpp
@@ -48,7 +48,7 @@
     steady_time deadline;
     /// Replaces `deadline` once `may_have_run` is true.
     steady_time outcome_deadline;
-    leader_callback done;
+    outcome_callback done;
     /// True once an attempt has failed with `unanswered`.
     bool may_have_run = false;
 
@@ -226,11 +226,14 @@
 void leader_client::call(messages::kind kind, std::string body, steady_time deadline,
                          leader_callback done)
 {
-    this->call_until_known(kind, std::move(body), deadline, deadline, std::move(done));
+    this->call_until_known(kind, std::move(body), deadline, deadline,
+                           [done = std::move(done)](absl::StatusOr<std::string> result, bool) {
+                               done(std::move(result));
+                           });
 }
 
 void leader_client::call_until_known(messages::kind kind, std::string body, steady_time deadline,
-                                     steady_time outcome_deadline, leader_callback done)
+                                     steady_time outcome_deadline, outcome_callback done)
 {
     this->send_attempt(std::make_shared<retried_call>(
         retried_call{kind, std::move(body), deadline, outcome_deadline, std::move(done)}));
@@ -243,7 +246,7 @@
     this->call_once(
         call->kind, call->body, attempt_deadline, [this, call](absl::StatusOr<std::string> result) {
             if (result.ok() || error_code<leader_errc>(result.status()) == leader_errc::refused) {
-                call->done(std::move(result));
+                call->done(std::move(result), call->may_have_run);
                 return;
             }
             call->may_have_run |=
@@ -252,7 +255,7 @@
             if (next >= call->retry_end()) {
                 const leader_errc code =
                     call->may_have_run ? leader_errc::unanswered : leader_errc::no_leader;
-                call->done(translate_error(code, result.status()));
+                call->done(translate_error(code, result.status()), call->may_have_run);
                 return;
             }
             const std::shared_ptr<bool> client_alive = this->alive;
--- a/src/libclient/leader_client_test.cpp
+++ b/src/libclient/leader_client_test.cpp
@@ -66,11 +66,12 @@
         this->loop.run_and_wait([&] {
             this->client = std::make_unique<control::leader_client>(this->loop, this->traffic,
                                                                     addresses, secret);
-            this->client->call_until_known(
-                messages::kind::job_call, "body", boot_clock::now() + timeout,
-                boot_clock::now() + outcome_timeout, [&result](absl::StatusOr<std::string> answer) {
-                    result.set_value(std::move(answer));
-                });
+            this->client->call_until_known(messages::kind::job_call, "body",
+                                           boot_clock::now() + timeout,
+                                           boot_clock::now() + outcome_timeout,
+                                           [&result](absl::StatusOr<std::string> answer, bool) {
+                                               result.set_value(std::move(answer));
+                                           });
         });
         return result.get_future().get();
     }
--- a/src/libcluster/group_service.cpp
+++ b/src/libcluster/group_service.cpp
@@ -27,12 +27,18 @@
 constexpr milliseconds member_change_period{200};
 /// The address of a peer is passed on to others for this long after its last message.
 constexpr milliseconds peer_lifetime{10000};
+/// Memory that the calls of clients may hold until the control thread serves them. Gateways repeat
+/// those that are refused.
+constexpr std::size_t max_waiting_call_bytes = std::size_t{8} * 1024 * 1024;
+constexpr std::size_t largest_part_of_waiting = 2;
+constexpr std::size_t bytes_of_waiting_call = 4096;
 
 } // namespace
 
 group_service::group_service(const config::settings& chosen, std::string_view cluster_secret,
                              kernel::control_loop& control_loop, kernel::traffic_loop& traffic_loop)
-    : settings(chosen), secret(cluster_secret), loop(control_loop), traffic(traffic_loop)
+    : settings(chosen), secret(cluster_secret), loop(control_loop), traffic(traffic_loop),
+      waiting_calls(max_waiting_call_bytes, largest_part_of_waiting)
 {
     this->client = std::make_unique<control::leader_client>(
         this->loop, this->traffic, this->settings.cluster.seeds, this->secret);
@@ -168,7 +174,18 @@
 
 void group_service::on_request(wire::incoming_request request, const wire::reply_function& reply)
 {
-    this->loop.post([this, request = std::move(request), reply]() mutable {
+    kernel::byte_budget::lease memory;
+    if (static_cast<messages::kind>(request.kind) == messages::kind::job_call) {
+        memory = this->waiting_calls.take(request.body.size() + bytes_of_waiting_call);
+        if (memory == nullptr) {
+            messages::control_reply refused;
+            refused.result = messages::control_reply::result_kind::not_leader;
+            refused.leader = this->settings.cluster.listen;
+            reply(pack(refused));
+            return;
+        }
+    }
+    this->loop.post([this, request = std::move(request), reply, memory]() mutable {
         if (!this->stopping) {
             this->serve_request(std::move(request), reply);
         }
--- a/src/libgateway/job_gateway.cpp
+++ b/src/libgateway/job_gateway.cpp
@@ -24,6 +24,26 @@
            operation == messages::job_operation::restore;
 }
 
+/// Part of the free memory for submissions that one of them may take, as a divisor. A job in a body
+/// of the largest size that the platform allows takes less.
+constexpr std::size_t largest_part_of_submissions = 4;
+/// A forwarded call is held for retries and, twice, on its way to a connection.
+constexpr std::size_t copies_of_body = 3;
+constexpr std::size_t bytes_of_call = 1024;
+
+bool is_large(messages::job_operation operation)
+{
+    return operation == messages::job_operation::submit ||
+           operation == messages::job_operation::install_configuration;
+}
+
+/// True when the same submission may be accepted at another time.
+bool is_passing_refusal(command_result result)
+{
+    return result != command_result::accepted && result != command_result::withdrawn_job &&
+           result != command_result::invalid_job;
+}
+
 } // namespace
 
 std::string_view error_name(gateway_errc code)
@@ -41,9 +61,12 @@
                          kernel::control_loop& control_loop, metrics::registry& counters,
                          const clock_function& clock)
     : options(chosen), group(group_to_call), loop(control_loop), metrics(counters),
-      standstills(clock, [&control_loop](milliseconds period, std::function<void()> work) {
-          control_loop.run_every(period, std::move(work));
-      })
+      standstills(clock,
+                  [&control_loop](milliseconds period, std::function<void()> work) {
+                      control_loop.run_every(period, std::move(work));
+                  }),
+      submission_bytes(chosen.max_forwarded_bytes, largest_part_of_submissions),
+      configuration_bytes(chosen.max_forwarded_bytes, 1)
 {
 }
 
@@ -77,7 +100,11 @@
 }
 
 struct job_gateway::forwarded_call {
+    /// Without the job's definition or the configuration, which are in `body`.
     messages::job_call call;
+    /// The packed call; empty for an order whose revision has not been read.
+    std::string body;
+    kernel::byte_budget::lease memory;
     steady_time begun;
     /// When the call ends if no leader has been found.
     steady_time deadline;
@@ -103,12 +130,30 @@
         });
         return;
     }
+    std::string body;
+    kernel::byte_budget::lease memory;
+    if (is_large(call.operation)) {
+        body = pack(call);
+        call.definition = job_definition();
+        call.configuration = job_configuration();
+        kernel::byte_budget& budget = call.operation == messages::job_operation::submit
+                                          ? this->submission_bytes
+                                          : this->configuration_bytes;
+        memory = budget.take(copies_of_body * body.size() + bytes_of_call);
+        if (memory == nullptr) {
+            this->metrics.add("calls_without_room_total");
+            this->loop.post([done = std::move(done)] {
+                done(make_error(gateway_errc::not_carried_out, "too many calls are in progress"));
+            });
+            return;
+        }
+    }
     const steady_time caller_deadline = begun + caller_timeout - std::min(waited, caller_timeout);
-    const std::shared_ptr<forwarded_call> forwarded =
-        std::make_shared<forwarded_call>(forwarded_call{
-            std::move(call), begun, std::min(begun + this->options.call_timeout, caller_deadline),
-            std::min(begun + this->options.retry_timeout, caller_deadline), std::move(caller_waits),
-            std::move(done)});
+    const std::shared_ptr<forwarded_call> forwarded = std::make_shared<forwarded_call>(
+        forwarded_call{std::move(call), std::move(body), std::move(memory), begun,
+                       std::min(begun + this->options.call_timeout, caller_deadline),
+                       std::min(begun + this->options.retry_timeout, caller_deadline),
+                       std::move(caller_waits), std::move(done)});
     this->loop.post([this, forwarded] {
         if (sets_evacuation(forwarded->call.operation)) {
             this->send_evacuation_order(forwarded);
@@ -156,18 +201,20 @@
 
 void job_gateway::send(const std::shared_ptr<forwarded_call>& forwarded)
 {
+    std::string body = forwarded->body.empty() ? pack(forwarded->call) : std::move(forwarded->body);
     this->group.leader().call_until_known(
-        messages::kind::job_call, pack(forwarded->call), forwarded->deadline,
-        forwarded->outcome_deadline, [this, forwarded](const absl::StatusOr<std::string>& body) {
+        messages::kind::job_call, std::move(body), forwarded->deadline, forwarded->outcome_deadline,
+        [this, forwarded](const absl::StatusOr<std::string>& answer, bool earlier_unanswered) {
             this->metrics.observe(
                 "leader_call_ms", "",
                 std::chrono::duration<double, std::milli>(boot_clock::now() - forwarded->begun)
                     .count());
-            this->finish(*forwarded, body);
+            this->finish(*forwarded, answer, earlier_unanswered);
         });
 }
 
-void job_gateway::finish(const forwarded_call& forwarded, const absl::StatusOr<std::string>& body)
+void job_gateway::finish(const forwarded_call& forwarded, const absl::StatusOr<std::string>& body,
+                         bool earlier_unanswered)
 {
     if (!body.ok()) {
         const bool not_executed =
@@ -182,6 +229,13 @@
         forwarded.done(translate_error(gateway_errc::unknown, answer.status()));
         return;
     }
+    if (earlier_unanswered && forwarded.call.operation == messages::job_operation::submit &&
+        is_passing_refusal(answer->result)) {
+        // The earlier attempt may still reach a leader, at a time when the job is accepted.
+        forwarded.done(make_error(gateway_errc::unknown,
+                                  "refused after an attempt that may yet be carried out"));
+        return;
+    }
     forwarded.done(*std::move(answer));
 }
 
