Bound the jobs and the bodies of open requests on the own interface

What callers saw: 4,000 jobs with 64 KiB of parameters took 572 MB on each control replica, 1,000 requests with bodies of 1 MB took 472 MB at the entry.

Cause: queued and ended jobs kept their parameters without a limit, and an entry accepted bodies as fast as they arrived.

Change: the leader accepts jobs into the same kind of room as the gateways' leader (limits.job_memory_mb); a refusal is 503 with `not_run`, and 504 with `unknown` after an unanswered attempt. An ended job keeps a hash of its parameters, by which a resend is recognized. Bodies of open requests hold 16 MiB at an entry, one of them a quarter of what is free.

--- a/src/include/redwingwheel/control_state.h
+++ b/src/include/redwingwheel/control_state.h
@@ -15,6 +15,7 @@
 #include "redwingwheel/gang_messages.h"
 #include "redwingwheel/messages.h"
 #include "redwingwheel/placement_types.h"
+#include "redwingwheel/state_room.h"
 
 /// The replicated state of the control replicas: a deterministic state machine that applies the
 /// commands of the log. It reads no clock and no random numbers; commands carry the values they
@@ -73,10 +74,18 @@
     std::int64_t submitted_ms = 0;
     std::int64_t started_ms = 0;
     std::int64_t ended_ms = 0;
+    /// Hash of the job's parameters, which are dropped when it ends; 0 before.
+    std::uint64_t parameters_hash = 0;
     MSGPACK_DEFINE(job, state, epoch, starts, cancel_requested, reason, members, borrowed,
-                   uses_guarantee, submitted_ms, started_ms, ended_ms)
+                   uses_guarantee, submitted_ms, started_ms, ended_ms, parameters_hash)
 };
 
+/// True when `submitted` is the job of `known`, which may have ended.
+[[nodiscard]] bool is_same_job(const job_record& known, const job_description& submitted);
+
+/// Estimated memory in bytes that a job takes until it has ended.
+[[nodiscard]] std::uint64_t estimated_bytes(const job_description& job);
+
 struct data_centre_record {
     bool in_service = true;
     /// Log index of the latest change of `in_service`; 0 before the first.
@@ -221,6 +230,9 @@
         return this->job_records;
     }
     [[nodiscard]] const job_record* find_job(std::string_view id) const;
+    /// What the jobs that have not ended take of the room, by account. The state must outlive the
+    /// result.
+    [[nodiscard]] room_usage open_job_usage() const;
     [[nodiscard]] const membership::gang_record_store& gangs() const { return this->gang_records; }
     [[nodiscard]] const request::claim_table& claims() const { return this->claim_records; }
     [[nodiscard]] const std::map<std::string, usage_record>& usage() const
@@ -259,6 +271,9 @@
     void apply_gang_end(const membership::gang_ended& ended, std::int64_t now_ms);
     void finish_job(job_record& job, job_state state, std::string_view reason, std::int64_t now_ms);
     void remove_oldest_ended_jobs();
+    /// Counts a job that has not ended.
+    void charge(const job_record& job);
+    void release_charge(const job_record& job);
     [[nodiscard]] config::configuration_options configuration_options() const;
 
     feasibility_function feasibility_check;
@@ -272,6 +287,9 @@
     request::claim_table claim_records;
     std::map<std::string, usage_record> usage_records;
     std::map<std::string, usage_source, std::less<>> usage_sources;
+    /// Estimated bytes of the jobs that have not ended, derived from `job_records`.
+    std::uint64_t open_bytes = 0;
+    std::map<std::string, std::uint64_t> open_bytes_by_account;
 };
 
 } // namespace redwingwheel::control
--- a/src/include/redwingwheel/entry_service.h
+++ b/src/include/redwingwheel/entry_service.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "redwingwheel/byte_budget.h"
 #include "redwingwheel/configuration.h"
 #include "redwingwheel/control_loop.h"
 #include "redwingwheel/http_server.h"
@@ -99,6 +100,8 @@
     request::retry_policy retries;
     std::map<std::string, agent_link, std::less<>> agents;
     std::map<const request_flow*, std::shared_ptr<request_flow>> flows;
+    /// Of the bodies of requests that have not been answered.
+    kernel::byte_budget open_bodies;
     std::unique_ptr<http::server> server;
     /// Version of the agent table received last, and the leader's term that it belongs to.
     std::uint64_t table_version = 0;
--- a/src/libcontrol/control_service.cpp
+++ b/src/libcontrol/control_service.cpp
@@ -65,8 +65,8 @@
     this->decisions = std::make_unique<controller>(options_from(chosen), boot_clock_function(),
                                                    this->state, hooks);
     this->operator_api = std::make_unique<operator_interface>(
-        this->state, *this->decisions, hooks, boot_clock_function(),
-        [this] { return this->host.replica().status(); });
+        this->state, *this->decisions, room_of_mb(chosen.limits.job_memory_mb), hooks,
+        boot_clock_function(), [this] { return this->host.replica().status(); });
 }
 
 control_service::~control_service() = default;
--- a/src/libcontrol/control_state.cpp
+++ b/src/libcontrol/control_state.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include "redwingwheel/digest.h"
 #include "redwingwheel/packing.h"
 
 namespace redwingwheel::control {
@@ -159,6 +160,25 @@
     return "unknown";
 }
 
+bool is_same_job(const job_record& known, const job_description& submitted)
+{
+    if (known.parameters_hash == 0) {
+        return known.job == submitted;
+    }
+    job_description without_parameters = submitted;
+    without_parameters.parameters.clear();
+    return known.job == without_parameters &&
+           known.parameters_hash == digest::content_hash(submitted.parameters);
+}
+
+std::uint64_t estimated_bytes(const job_description& job)
+{
+    // The record, the entry in the placement queue and, while it is placed, its members.
+    constexpr std::uint64_t bytes_of_record = 1024;
+    constexpr std::uint64_t bytes_of_member = 128;
+    return bytes_of_record + job.members * bytes_of_member + job.parameters.size();
+}
+
 bool is_final(job_state state)
 {
     return state >= job_state::done;
@@ -280,8 +300,8 @@
     if (known != nullptr) {
         // A repeated submission of the same job is accepted again; another job under its id is
         // refused.
-        return known->job == of.job ? command_result()
-                                    : refused("the job identity is taken by another job");
+        return is_same_job(*known, of.job) ? command_result()
+                                           : refused("the job identity is taken by another job");
     }
     const config::service* const service = this->config->find_service(of.job.service);
     if (service == nullptr || this->config->find_client_account(of.job.account) == nullptr) {
@@ -290,6 +310,7 @@
     job_record added;
     added.job = of.job;
     added.submitted_ms = of.now_ms;
+    this->charge(added);
     this->job_records.emplace(of.job.id, std::move(added));
     return {};
 }
@@ -407,10 +428,41 @@
     job.reason = reason;
     job.ended_ms = now_ms;
     job.members.clear();
+    this->release_charge(job);
+    job.parameters_hash = digest::content_hash(job.job.parameters);
+    std::string().swap(job.job.parameters);
     this->ended_jobs.push_back(job.job.id);
     this->remove_oldest_ended_jobs();
 }
 
+void control_state::charge(const job_record& job)
+{
+    const std::uint64_t bytes = estimated_bytes(job.job);
+    this->open_bytes += bytes;
+    this->open_bytes_by_account[job.job.account] += bytes;
+}
+
+void control_state::release_charge(const job_record& job)
+{
+    const std::uint64_t bytes = estimated_bytes(job.job);
+    this->open_bytes -= bytes;
+    const auto of_account = this->open_bytes_by_account.find(job.job.account);
+    of_account->second -= bytes;
+    if (of_account->second == 0) {
+        this->open_bytes_by_account.erase(of_account);
+    }
+}
+
+room_usage control_state::open_job_usage() const
+{
+    return {[this] { return this->open_bytes; },
+            [this](const std::string& account) {
+                const auto found = this->open_bytes_by_account.find(account);
+                return found == this->open_bytes_by_account.end() ? 0 : found->second;
+            },
+            [this] { return this->open_bytes_by_account.size(); }};
+}
+
 void control_state::remove_oldest_ended_jobs()
 {
     if (this->ended_jobs.size() <= max_ended_jobs) {
@@ -522,8 +574,13 @@
     this->data_centre_records = std::move(whole->data_centres);
     this->worker_records = std::move(whole->workers);
     this->job_records.clear();
+    this->open_bytes = 0;
+    this->open_bytes_by_account.clear();
     for (job_record& job : whole->jobs) {
         std::string id = job.job.id;
+        if (!is_final(job.state)) {
+            this->charge(job);
+        }
         this->job_records.emplace(std::move(id), std::move(job));
     }
     this->ended_jobs = std::move(whole->ended_jobs);
--- a/src/libcontrol/operator_interface.cpp
+++ b/src/libcontrol/operator_interface.cpp
@@ -111,11 +111,12 @@
 } // namespace
 
 operator_interface::operator_interface(const control_state& applied_state,
-                                       controller& leader_decisions, controller_hooks callbacks,
-                                       clock_function clock_source,
+                                       controller& leader_decisions, const room_options& limits,
+                                       controller_hooks callbacks, clock_function clock_source,
                                        std::function<replication::replica_status()> replica_status)
     : state(applied_state), decisions(leader_decisions), hooks(std::move(callbacks)),
-      clock(std::move(clock_source)), log_status(std::move(replica_status))
+      clock(std::move(clock_source)), room(limits, this->clock, applied_state.open_job_usage()),
+      log_status(std::move(replica_status))
 {
 }
 
@@ -450,8 +451,20 @@
         return;
     }
     const std::string id = parsed.job.id;
-    this->decisions.submit(parsed.job, [this, id,
+    const std::string account = parsed.job.account;
+    // A job that is known takes no further room.
+    const std::uint64_t bytes =
+        this->state.find_job(id) == nullptr ? estimated_bytes(parsed.job) : 0;
+    const room_verdict verdict = this->room.admit(account, bytes);
+    if (verdict != room_verdict::accepted) {
+        spdlog::info("event=job_refused job={} account={} reason={} bytes={} free_bytes={}", id,
+                     account, room_verdict_name(verdict), bytes, this->room.free_bytes());
+        done(answer_refusal(503, "there is no room for the job now"));
+        return;
+    }
+    this->decisions.submit(parsed.job, [this, id, account, bytes,
                                         done](const absl::StatusOr<command_result>& result) {
+        this->room.settle(account, bytes);
         if (!result.ok()) {
             const bool never = error_code<placement::placement_errc>(result.status()).has_value();
             done(never ? answer_refusal(422, errors::message_of(result.status()))
--- a/src/libcontrol/operator_interface.h
+++ b/src/libcontrol/operator_interface.h
@@ -40,7 +40,8 @@
 class operator_interface {
 public:
     operator_interface(const control_state& applied_state, controller& leader_decisions,
-                       controller_hooks callbacks, clock_function clock_source,
+                       const room_options& limits, controller_hooks callbacks,
+                       clock_function clock_source,
                        std::function<replication::replica_status()> replica_status);
 
     /// `done` is called once. Calls that wait for a change to be in force are answered by `tick`.
@@ -81,6 +82,7 @@
     controller& decisions;
     controller_hooks hooks;
     clock_function clock;
+    state_room room;
     std::function<replication::replica_status()> log_status;
     std::vector<waiting_call> waiting_calls;
 };
--- a/src/libentry/entry_service.cpp
+++ b/src/libentry/entry_service.cpp
@@ -26,7 +26,12 @@
 /// Some operator calls return only once a change is in force, which can take this long.
 constexpr milliseconds operator_call_timeout{30'000};
 constexpr std::uint64_t max_deadline_ms = 3'600'000;
+/// Memory that the bodies of open requests may take, each of which is held up to three times on its
+/// way, and the part of the free memory that one of them may take, as a divisor.
+constexpr std::size_t max_open_body_bytes = std::size_t{16} * 1024 * 1024;
+constexpr std::size_t largest_part_of_bodies = 4;
 constexpr std::string_view request_path = "/v1/requests/";
+constexpr std::string_view jobs_path = "/v1/jobs";
 constexpr std::string_view data_centres_path = "/v1/data-centres/";
 constexpr std::string_view expected_order_parameter = "expected_order_index";
 constexpr std::string_view bearer_prefix = "Bearer ";
@@ -108,7 +113,7 @@
                       control_loop.run_every(period, std::move(work));
                   }),
       router(router_options_from(chosen), boot_clock_function(), draw_random),
-      retries({}, boot_clock_function())
+      retries({}, boot_clock_function()), open_bodies(max_open_body_bytes, largest_part_of_bodies)
 {
 }
 
@@ -161,9 +166,21 @@
         respond({200, "text/plain; version=0.0.4", this->metrics.render(), {}});
         return;
     }
+    const kernel::byte_budget::lease memory = this->open_bodies.take(request.body.size());
+    if (memory == nullptr) {
+        this->metrics.add("requests_without_room_total");
+        const bool keyed = !request.header("idempotency-key").empty();
+        respond(error_response(status_unavailable, keyed ? "unknown" : "not_run",
+                               "too many requests are in progress"));
+        return;
+    }
     const steady_time sent_at = boot_clock::now() - this->standstills.max_waiting_time();
+    const http::responder respond_and_release = [respond = std::move(respond),
+                                                 memory](const http::server_response& response) {
+        return respond(response);
+    };
     this->loop.post(
-        [this, sent_at, request = std::move(request), respond = std::move(respond)]() mutable {
+        [this, sent_at, request = std::move(request), respond = respond_and_release]() mutable {
             if (!this->stopping) {
                 this->serve(std::move(request), sent_at, respond);
             }
@@ -348,24 +365,31 @@
 void entry_service::send_to_leader(const messages::operator_call& call, steady_time deadline,
                                    const std::function<void(const http::server_response&)>& done)
 {
-    this->control.call(messages::kind::operator_call, pack(call), deadline,
-                       [done](const absl::StatusOr<std::string>& body) {
-                           if (!body.ok()) {
-                               const bool not_carried_out =
-                                   error_code<control::leader_errc>(body.status()) ==
-                                   control::leader_errc::no_leader;
-                               done(error_response(503, not_carried_out ? "not_run" : "unknown",
-                                                   errors::message_of(body.status())));
-                               return;
-                           }
-                           const absl::StatusOr<messages::operator_answer> answer =
-                               unpack<messages::operator_answer>(*body);
-                           if (!answer.ok()) {
-                               done(error_response(502, "unknown", "the answer is not readable"));
-                               return;
-                           }
-                           done({answer->status, "application/json", answer->body, {}});
-                       });
+    const bool submits = call.method == "POST" && call.path == jobs_path;
+    this->control.call_until_known(
+        messages::kind::operator_call, pack(call), deadline, deadline,
+        [done, submits](const absl::StatusOr<std::string>& body, bool earlier_unanswered) {
+            if (!body.ok()) {
+                const bool not_carried_out = error_code<control::leader_errc>(body.status()) ==
+                                             control::leader_errc::no_leader;
+                done(error_response(status_unavailable, not_carried_out ? "not_run" : "unknown",
+                                    errors::message_of(body.status())));
+                return;
+            }
+            const absl::StatusOr<messages::operator_answer> answer =
+                unpack<messages::operator_answer>(*body);
+            if (!answer.ok()) {
+                done(error_response(status_bad_gateway, "unknown", "the answer is not readable"));
+                return;
+            }
+            if (submits && earlier_unanswered && answer->status == status_unavailable) {
+                // The earlier attempt may still reach a leader that has room.
+                done(error_response(status_timeout, "unknown",
+                                    "refused after an attempt that may yet be carried out"));
+                return;
+            }
+            done({answer->status, "application/json", answer->body, {}});
+        });
 }
 
 void entry_service::poll()
