Let gateways pause before they repeat a call that a busy leader has refused

What callers saw: nothing yet. A leader that refused a call for want of room answered as if it did not lead, so that each gateway repeated the call after 30 ms, at another replica first. A thousand waiting callers at one gateway would send 33 calls a second each to a leader that has too many already.

Change: the leader answers `busy`, and the call is repeated after 250 ms at the same replica. It is still reported as not carried out when it never got through. Older processes take the new answer for "not the leader", as before.

Evidence: the new case of leader_client_test counts at most 4 attempts in 900 ms. Suspected only: no crowd of the tests makes a leader answer busy for long.

--- a/src/include/redwingwheel/leader_client.h
+++ b/src/include/redwingwheel/leader_client.h
@@ -21,6 +21,8 @@
     unanswered,
     /// The leader refused the call as malformed or out of order.
     refused,
+    /// The leader has too many calls in progress; the call was not carried out.
+    busy,
 };
 
 [[nodiscard]] constexpr std::string_view error_layer(leader_errc)
--- a/src/include/redwingwheel/messages.h
+++ b/src/include/redwingwheel/messages.h
@@ -237,7 +237,12 @@
 /// Envelope of a control replica's reply to a call that only the leader serves. `body` is set when
 /// the result is `served`.
 struct control_reply {
-    enum class result_kind : std::uint8_t { served, not_leader, unavailable };
+    enum class result_kind : std::uint8_t {
+        served,
+        not_leader,
+        unavailable, ///< Leadership was lost during the call; it may have been carried out.
+        busy,        ///< Too many calls are in progress; this one was not carried out.
+    };
     result_kind result = result_kind::unavailable;
     /// Address of the leader; empty when it is not known.
     std::string leader;
--- a/src/libclient/leader_client.cpp
+++ b/src/libclient/leader_client.cpp
@@ -13,6 +13,8 @@
 /// attempts fit into the lifetime of a permit.
 constexpr milliseconds attempt_timeout{800};
 constexpr milliseconds retry_delay{30};
+/// Delay after a busy leader's answer, so that the repeated calls do not add to its load.
+constexpr milliseconds busy_retry_delay{250};
 
 } // namespace
 
@@ -25,6 +27,8 @@
         return "unanswered";
     case leader_errc::refused:
         return "refused";
+    case leader_errc::busy:
+        return "busy";
     }
     return "unknown";
 }
@@ -33,6 +37,7 @@
 {
     switch (code) {
     case leader_errc::no_leader:
+    case leader_errc::busy:
         return absl::StatusCode::kUnavailable;
     case leader_errc::unanswered:
         return absl::StatusCode::kUnknown;
@@ -192,6 +197,10 @@
         done(make_error(leader_errc::unanswered, "leadership was lost during the call"));
         return;
     }
+    if (reply->result == messages::control_reply::result_kind::busy) {
+        done(make_error(leader_errc::busy, "the leader has too many calls in progress"));
+        return;
+    }
     if (reply->result != messages::control_reply::result_kind::served) {
         this->reachable = false;
         this->redirect(reply->leader, target);
@@ -251,7 +260,8 @@
             }
             call->may_have_run |=
                 error_code<leader_errc>(result.status()) == leader_errc::unanswered;
-            const steady_time next = boot_clock::now() + retry_delay;
+            const bool busy = error_code<leader_errc>(result.status()) == leader_errc::busy;
+            const steady_time next = boot_clock::now() + (busy ? busy_retry_delay : retry_delay);
             if (next >= call->retry_end()) {
                 const leader_errc code =
                     call->may_have_run ? leader_errc::unanswered : leader_errc::no_leader;
--- a/src/libclient/leader_client_test.cpp
+++ b/src/libclient/leader_client_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <future>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -137,6 +138,25 @@
     CHECK(*answer == "outcome");
 }
 
+// Load: a leader with too many calls in progress. Failure: each of them is repeated at once, which
+// keeps the leader busy, or is reported as possibly carried out.
+TEST_CASE("a call that a busy leader refuses is repeated with a pause")
+{
+    test_replicas replicas;
+    std::atomic<int> calls{0};
+    const std::string leader = replicas.add_replica(
+        [&calls](const wire::incoming_request&, const wire::reply_function& reply) {
+            ++calls;
+            messages::control_reply busy;
+            busy.result = messages::control_reply::result_kind::busy;
+            reply(pack(busy));
+        });
+    const absl::StatusOr<std::string> answer = replicas.call({leader}, milliseconds(900));
+    CHECK(error_code<control::leader_errc>(answer.status()) == control::leader_errc::no_leader);
+    CHECK(calls >= 1);
+    CHECK(calls <= 4);
+}
+
 // Failure: a call fails because the first replica is not the leader, although it names the leader.
 TEST_CASE("a call is redirected to the leader")
 {
--- a/src/libcluster/group_service.cpp
+++ b/src/libcluster/group_service.cpp
@@ -179,8 +179,7 @@
         memory = this->waiting_calls.take(request.body.size() + bytes_of_waiting_call);
         if (memory == nullptr) {
             messages::control_reply refused;
-            refused.result = messages::control_reply::result_kind::not_leader;
-            refused.leader = this->settings.cluster.listen;
+            refused.result = messages::control_reply::result_kind::busy;
             reply(pack(refused));
             return;
         }
@@ -240,10 +239,11 @@
                 return;
             }
             // Only with these two errors is the command certainly not written to the log.
-            const bool not_written = code == replication::replication_errc::not_leader ||
-                                     code == replication::replication_errc::busy;
-            served.result = not_written ? messages::control_reply::result_kind::not_leader
-                                        : messages::control_reply::result_kind::unavailable;
+            served.result = code == replication::replication_errc::not_leader
+                                ? messages::control_reply::result_kind::not_leader
+                            : code == replication::replication_errc::busy
+                                ? messages::control_reply::result_kind::busy
+                                : messages::control_reply::result_kind::unavailable;
             reply(pack(served));
             return;
         }
