Keep half of the slow room for jobs that are not submitted again and again

What callers saw: while a client repeats one job without end on a public queue, ordinary callers of the queue share the rate at which a full share takes jobs with it, and are refused nearly always until it leaves.

Cause: beyond the share of an owner all jobs competed for one allowance.

Change: there are two allowances, one for jobs whose content was submitted more than 16 times lately and one for others. Contents are counted by 12 bits of their hash, at the leader alone. A single job may be proposed however large the room is: with a room of more than 32 MiB a job over 8 MiB was refused each time.

"a single job may be proposed whatever its size" covers the second fault.

--- a/src/include/redwingwheel/job_state.h
+++ b/src/include/redwingwheel/job_state.h
@@ -374,6 +374,9 @@
 /// What the jobs of `state`, which must outlive the result, take of the room.
 [[nodiscard]] room_usage room_usage_of(const job_state& state);
 
+/// Hash of what two submissions of the same job by different ids have in common.
+[[nodiscard]] std::uint64_t content_of(const job_definition& definition);
+
 /// Estimated memory in bytes that a job takes until its first task is started.
 [[nodiscard]] std::uint64_t estimated_bytes(const job_definition& definition);
 
--- a/src/include/redwingwheel/state_room.h
+++ b/src/include/redwingwheel/state_room.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -17,8 +18,8 @@
     std::uint64_t max_bytes = std::uint64_t{24} * 1024 * 1024;
     /// Time in which owners beyond their share could fill the free room once.
     milliseconds refill_time{300'000};
-    /// Estimated memory of the jobs that are proposed and not applied yet, in bytes. Leaves most of
-    /// what a replica may have uncommitted to everything else.
+    /// Estimated memory of the jobs that are proposed and not applied yet, in bytes, unless it is a
+    /// single one. Leaves most of what a replica may have uncommitted to everything else.
     std::uint64_t max_proposed_bytes = std::uint64_t{8} * 1024 * 1024;
 };
 
@@ -49,7 +50,9 @@
 /// - A job may take a quarter of the free room, so that large jobs are refused while small ones
 ///   still find room, and the room is never used up.
 /// - In the upper half of the room each owner has an equal share. Beyond it, jobs are accepted as
-///   fast as would fill the free room in `refill_time`, which slows down as the room shrinks.
+///   fast as would fill the free room in `refill_time`, which slows down as the room shrinks. Half
+///   of that is for jobs that were not submitted with the same content again and again, so that a
+///   client that repeats itself does not keep out others of the same queue.
 ///
 /// Jobs that are proposed and not applied yet count as well. The room depends on the replicated
 /// state alone, so that it is the same after a change of leader.
@@ -57,8 +60,10 @@
 public:
     state_room(const room_options& options, clock_function clock, room_usage usage);
 
-    /// Decides on a job of `owner` that takes `bytes`. An accepted job counts until `settle`.
-    [[nodiscard]] room_verdict admit(const std::string& owner, std::uint64_t bytes);
+    /// Decides on a job of `owner` that takes `bytes`. `content` is a hash of the job, by which
+    /// repetitions are recognized. An accepted job counts until `settle`.
+    [[nodiscard]] room_verdict admit(const std::string& owner, std::uint64_t content,
+                                     std::uint64_t bytes);
 
     /// The proposal of an accepted job was applied or has failed.
     void settle(const std::string& owner, std::uint64_t bytes);
@@ -71,16 +76,22 @@
 
 private:
     [[nodiscard]] std::uint64_t bytes_of(const std::string& owner) const;
-    [[nodiscard]] bool take_slowly(std::uint64_t bytes);
+    [[nodiscard]] bool take_slowly(std::uint64_t content, std::uint64_t bytes);
+    /// Counts a job, and returns true when its content has been frequent lately.
+    [[nodiscard]] bool is_frequent(std::uint64_t content, steady_time now);
 
     room_options options;
     clock_function clock;
     room_usage usage;
     std::map<std::string, std::uint64_t> proposed;
     std::uint64_t all_proposed = 0;
-    /// What owners beyond their share may take now, in bytes, and when that was computed.
-    double allowance = 0.0;
-    steady_time allowance_at;
+    /// What owners beyond their share may take now, in bytes, and when that was computed. The first
+    /// one is for jobs with frequent content, the second one for others.
+    std::array<double, 2> allowances{};
+    steady_time allowances_at;
+    /// How often contents were submitted lately, by some bits of their hash. Halved every second.
+    std::array<std::uint8_t, 4096> recent{};
+    steady_time next_halving;
 };
 
 } // namespace redwingwheel
--- a/src/libcontrol/operator_interface.cpp
+++ b/src/libcontrol/operator_interface.cpp
@@ -6,6 +6,7 @@
 #include <spdlog/spdlog.h>
 
 #include "operator_json.h"
+#include "redwingwheel/digest.h"
 
 namespace redwingwheel::control {
 
@@ -455,7 +456,8 @@
     // A job that is known takes no further room.
     const std::uint64_t bytes =
         this->state.find_job(id) == nullptr ? estimated_bytes(parsed.job) : 0;
-    const room_verdict verdict = this->room.admit(account, bytes);
+    const room_verdict verdict =
+        this->room.admit(account, digest::content_hash(parsed.job.parameters), bytes);
     if (verdict != room_verdict::accepted) {
         spdlog::info("event=job_refused job={} account={} reason={} bytes={} free_bytes={}", id,
                      account, room_verdict_name(verdict), bytes, this->room.free_bytes());
--- a/src/libjobs/job_room_test.cpp
+++ b/src/libjobs/job_room_test.cpp
@@ -34,7 +34,7 @@
         const account_definition* const account = this->state.find_account(key);
         const std::string owner = owner_of(account == nullptr ? "" : account->name, queue);
         const std::uint64_t bytes = estimated_bytes(made.definition);
-        const room_verdict verdict = this->room.admit(owner, bytes);
+        const room_verdict verdict = this->room.admit(owner, content_of(made.definition), bytes);
         if (verdict == room_verdict::accepted) {
             REQUIRE(this->state.apply(made) == command_result::accepted);
             this->room.settle(owner, bytes);
@@ -105,6 +105,24 @@
     CHECK(world.state.charged_bytes() <= world.options.max_bytes);
 }
 
+// Load: a client that submits the same job without end on a public queue, and does not leave.
+// Failure: the callers of the same queue are refused for as long as it stays.
+TEST_CASE("a client that repeats itself does not keep out others of its queue")
+{
+    room_world world;
+    world.flood(small_payload);
+    std::size_t accepted = 0;
+    for (std::size_t second = 0; second < 60; ++second) {
+        world.time.advance(milliseconds(1000));
+        for (int each = 0; each < 1000; ++each) {
+            static_cast<void>(world.submit(small_payload));
+        }
+        accepted += world.submit(small_payload + 1 + second) == room_verdict::accepted ? 1 : 0;
+    }
+    CHECK(accepted >= 20);
+    CHECK(world.state.charged_bytes() <= world.options.max_bytes);
+}
+
 // Failure: a new leader accepts what the former one has refused, although the state is as full.
 TEST_CASE("the room is the same after a change of leader")
 {
@@ -118,7 +136,7 @@
     job_definition large;
     large.payload = std::string(100'000, 'x');
     large.steps.resize(1);
-    CHECK(successor.admit(owner_of("", "q"), estimated_bytes(large)) != room_verdict::accepted);
+    CHECK(successor.admit(owner_of("", "q"), 0, estimated_bytes(large)) != room_verdict::accepted);
 }
 
 // Failure: jobs that are proposed at the same time take more room than there is.
@@ -128,17 +146,27 @@
     const std::string owner = owner_of("", "q");
     std::uint64_t taken = 0;
     for (int each = 0; each < 1000; ++each) {
-        if (world.room.admit(owner, 20'000) == room_verdict::accepted) {
+        if (world.room.admit(owner, 0, 20'000) == room_verdict::accepted) {
             taken += 20'000;
         }
     }
     CHECK(taken <= world.options.max_proposed_bytes);
-    CHECK(world.room.admit(owner, 20'000) == room_verdict::in_progress);
+    CHECK(world.room.admit(owner, 0, 20'000) == room_verdict::in_progress);
     CHECK(world.room.free_bytes() == world.options.max_bytes - taken);
     world.room.begin_leadership();
     CHECK(world.room.free_bytes() == world.options.max_bytes);
 }
 
+// Failure: with a large room, a job that may be accepted never is, as it is larger than what may be
+// proposed together.
+TEST_CASE("a single job may be proposed whatever its size")
+{
+    room_world world;
+    state_room large(room_of_mb(1024), world.time.function(), room_usage_of(world.state));
+    CHECK(large.admit("a", 0, std::uint64_t{100} * 1024 * 1024) == room_verdict::accepted);
+    CHECK(large.admit("a", 0, 1024) == room_verdict::in_progress);
+}
+
 // Failure: a job in the largest body that the platform allows is refused in calm.
 TEST_CASE("the default room takes the largest job of the platform")
 {
--- a/src/libjobs/job_state.cpp
+++ b/src/libjobs/job_state.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "redwingwheel/digest.h"
 #include "redwingwheel/packing.h"
 
 namespace redwingwheel::jobs {
@@ -119,6 +120,11 @@
            reserved_occurrences(definition) * bytes_of_open_occurrence(definition);
 }
 
+std::uint64_t content_of(const job_definition& definition)
+{
+    return digest::content_hash(definition.payload) + estimated_bytes(definition);
+}
+
 bool can_begin_occurrence(const job_record& job)
 {
     if (job.begun_occurrences >= job.occurrence_count()) {
@@ -633,7 +639,12 @@
 
 std::string job_state::pack_snapshot() const
 {
-    return pack(this->replicated);
+    std::string bytes;
+    // The packed jobs are smaller than what they are charged for.
+    bytes.reserve(this->total_charge + 2 * this->replicated.configuration.document.size());
+    string_stream stream(bytes);
+    msgpack::pack(stream, this->replicated);
+    return bytes;
 }
 
 absl::Status job_state::restore_snapshot(std::string_view bytes)
--- a/src/libscheduler/scheduler_service_calls.cpp
+++ b/src/libscheduler/scheduler_service_calls.cpp
@@ -101,7 +101,7 @@
     const queue_definition& queue = *this->state.find_queue(call.host, call.path);
     const std::string owner = owner_of(this->account_name(call), queue.name);
     const std::uint64_t bytes = estimated_bytes(call.definition);
-    const room_verdict verdict = this->room.admit(owner, bytes);
+    const room_verdict verdict = this->room.admit(owner, content_of(call.definition), bytes);
     if (verdict != room_verdict::accepted) {
         this->metrics.add("jobs_without_room_total",
                           fmt::format("reason=\"{}\"", room_verdict_name(verdict)));
--- a/src/libutil/state_room.cpp
+++ b/src/libutil/state_room.cpp
@@ -1,6 +1,7 @@
 #include "redwingwheel/state_room.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace redwingwheel {
 
@@ -10,7 +11,10 @@
 /// allows takes a fifth of the default room.
 constexpr std::uint64_t largest_part = 4;
 /// Part of the free room that owners beyond their share may take at once after a pause.
-constexpr double burst_part = 0.0625;
+constexpr double burst_part = 0.125;
+constexpr milliseconds halving_period{1000};
+/// A caller that tries again a few times in a second is not frequent.
+constexpr std::uint8_t max_infrequent = 16;
 
 } // namespace
 
@@ -42,7 +46,7 @@
 }
 
 state_room::state_room(const room_options& chosen, clock_function now, room_usage taken)
-    : options(chosen), clock(std::move(now)), usage(std::move(taken)), allowance_at(this->clock())
+    : options(chosen), clock(std::move(now)), usage(std::move(taken)), allowances_at(this->clock())
 {
 }
 
@@ -58,19 +62,20 @@
     return this->usage.of_owner(owner) + (found == this->proposed.end() ? 0 : found->second);
 }
 
-room_verdict state_room::admit(const std::string& owner, std::uint64_t bytes)
+room_verdict state_room::admit(const std::string& owner, std::uint64_t content, std::uint64_t bytes)
 {
     const std::uint64_t free = this->free_bytes();
     if (bytes > free / largest_part) {
         return room_verdict::too_large;
     }
-    if (this->all_proposed + bytes > this->options.max_proposed_bytes) {
+    if (this->all_proposed > 0 && this->all_proposed + bytes > this->options.max_proposed_bytes) {
         return room_verdict::in_progress;
     }
     const std::uint64_t lower_half = this->options.max_bytes / 2;
     const bool in_lower_half = free - bytes >= lower_half;
     const std::uint64_t share = lower_half / (this->usage.owners() + 1);
-    if (!in_lower_half && this->bytes_of(owner) + bytes > share && !this->take_slowly(bytes)) {
+    if (!in_lower_half && this->bytes_of(owner) + bytes > share &&
+        !this->take_slowly(content, bytes)) {
         return room_verdict::over_share;
     }
     this->proposed[owner] += bytes;
@@ -78,22 +83,39 @@
     return room_verdict::accepted;
 }
 
-bool state_room::take_slowly(std::uint64_t bytes)
+bool state_room::take_slowly(std::uint64_t content, std::uint64_t bytes)
 {
     const steady_time now = this->clock();
-    const double free = static_cast<double>(this->free_bytes());
-    const std::chrono::duration<double, std::milli> passed = now - this->allowance_at;
-    this->allowance_at = now;
-    this->allowance +=
-        free * passed.count() / static_cast<double>(this->options.refill_time.count());
-    this->allowance = std::min(this->allowance, free * burst_part);
-    if (static_cast<double>(bytes) > this->allowance) {
+    const double lane_bytes = static_cast<double>(this->free_bytes()) / this->allowances.size();
+    const std::chrono::duration<double, std::milli> passed = now - this->allowances_at;
+    const double refilled = passed.count() / static_cast<double>(this->options.refill_time.count());
+    this->allowances_at = now;
+    for (double& each : this->allowances) {
+        each = std::min(each + lane_bytes * refilled, lane_bytes * burst_part);
+    }
+    double& allowance = this->allowances[this->is_frequent(content, now) ? 0 : 1];
+    if (static_cast<double>(bytes) > allowance) {
         return false;
     }
-    this->allowance -= static_cast<double>(bytes);
+    allowance -= static_cast<double>(bytes);
     return true;
 }
 
+bool state_room::is_frequent(std::uint64_t content, steady_time now)
+{
+    if (now >= this->next_halving) {
+        for (std::uint8_t& each : this->recent) {
+            each /= 2;
+        }
+        this->next_halving = now + halving_period;
+    }
+    std::uint8_t& count = this->recent[content % this->recent.size()];
+    if (count < std::numeric_limits<std::uint8_t>::max()) {
+        ++count;
+    }
+    return count > max_infrequent;
+}
+
 void state_room::settle(const std::string& owner, std::uint64_t bytes)
 {
     const auto found = this->proposed.find(owner);
@@ -112,8 +134,8 @@
 {
     this->proposed.clear();
     this->all_proposed = 0;
-    this->allowance = 0.0;
-    this->allowance_at = this->clock();
+    this->allowances = {};
+    this->allowances_at = this->clock();
 }
 
 } // namespace redwingwheel
