--- a/src/include/redwingwheel/digest.h
+++ b/src/include/redwingwheel/digest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -12,6 +13,8 @@
 
 /// CRC-32C (Castagnoli) of `bytes`, for records on disk.
 [[nodiscard]] std::uint32_t crc32c(std::string_view bytes);
+/// The same of several parts in a row.
+[[nodiscard]] std::uint32_t crc32c(std::span<const std::string_view> parts);
 
 /// HMAC-SHA-256 of `bytes` under `key`, as 64 hexadecimal digits.
 [[nodiscard]] std::string keyed_digest(std::string_view key, std::string_view bytes);
--- a/src/include/redwingwheel/file_log_storage.h
+++ b/src/include/redwingwheel/file_log_storage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <span>
 
 #include "redwingwheel/file_system.h"
 #include "redwingwheel/log_storage.h"
@@ -53,6 +54,9 @@
     [[nodiscard]] absl::Status sync_file(std::string_view name);
     [[nodiscard]] absl::Status sync_directory();
     [[nodiscard]] absl::Status replace_file(std::string_view name, std::string_view bytes);
+    [[nodiscard]] absl::Status replace_file(std::string_view name,
+                                            std::span<const std::string_view> parts);
+    [[nodiscard]] absl::Status write_snapshot(const snapshot& saved);
     [[nodiscard]] absl::Status remove_segment(std::size_t position);
     [[nodiscard]] absl::Status append_batch(std::span<const log_entry> entries);
     [[nodiscard]] absl::Status remove_entries_from(log_index first);
--- a/src/include/redwingwheel/json_text.h
+++ b/src/include/redwingwheel/json_text.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <limits>
 #include <string>
 #include <string_view>
 
@@ -21,6 +22,7 @@
 enum class json_errc {
     malformed = 1, ///< Not one JSON value in valid UTF-8, or a number out of range.
     too_deep,      ///< Nested deeper than `max_depth`.
+    too_many,      ///< More values than the caller of `parse` allows.
 };
 
 [[nodiscard]] constexpr std::string_view error_layer(json_errc)
@@ -35,8 +37,11 @@
 /// depth at which a parser would find a syntax error when `text` is malformed.
 [[nodiscard]] std::size_t nesting_depth(std::string_view text);
 
-/// Reads the one JSON value of `text`. Of duplicate keys the last one counts. Errors: json_errc.
-[[nodiscard]] absl::StatusOr<nlohmann::json> parse(std::string_view text);
+/// Reads the one JSON value of `text`. Of duplicate keys the last one counts. A tree takes up to 50
+/// times the memory of its text, about 100 bytes for each value, so that callers limit the commas
+/// between the values where the text may be large. Errors: json_errc.
+[[nodiscard]] absl::StatusOr<nlohmann::json>
+parse(std::string_view text, std::size_t max_separators = std::numeric_limits<std::size_t>::max());
 
 /// Why `parse` refuses a text, as the parts of a line or answer about a bad value.
 struct refusal {
--- a/src/libreplication/file_log_storage.cpp
+++ b/src/libreplication/file_log_storage.cpp
@@ -55,10 +55,7 @@
 std::string pack_single_record(const Value& value)
 {
     std::string bytes;
-    append_record(bytes, [&value](std::string& to) {
-        string_stream stream(to);
-        msgpack::pack(stream, value);
-    });
+    append_record(bytes, pack(value));
     return bytes;
 }
 
@@ -125,9 +122,20 @@
 }
 
 absl::Status file_log_storage::replace_file(std::string_view name, std::string_view bytes)
+{
+    return this->replace_file(name, std::span(&bytes, 1));
+}
+
+absl::Status file_log_storage::replace_file(std::string_view name,
+                                            std::span<const std::string_view> parts)
 {
     const std::string temporary_name = fmt::format("{}{}", name, temporary_suffix);
-    absl::Status status = this->files.write(temporary_name, bytes);
+    absl::Status status = this->files.write(temporary_name, parts.front());
+    for (const std::string_view part : parts.subspan(1)) {
+        if (status.ok()) {
+            status = this->files.append(temporary_name, part);
+        }
+    }
     if (status.ok()) {
         status = this->sync_file(temporary_name);
     }
@@ -403,7 +411,7 @@
     if (!this->failure.ok()) {
         return this->failure;
     }
-    absl::Status status = this->replace_file(snapshot_name, pack_single_record(saved));
+    absl::Status status = this->write_snapshot(saved);
     // The next append starts a new segment, so that the next snapshot can remove all older ones.
     this->start_new_segment = true;
     while (status.ok() && !this->segments.empty() &&
@@ -414,12 +422,28 @@
     return this->keep_first_failure(status);
 }
 
+/// Writes the record of the snapshot in parts, without a copy of the state.
+absl::Status file_log_storage::write_snapshot(const snapshot& saved)
+{
+    std::string fields;
+    string_stream stream(fields);
+    msgpack::packer<string_stream> packer(stream);
+    packer.pack_array(3);
+    packer.pack(saved.last_included);
+    packer.pack(saved.members);
+    packer.pack_str(static_cast<std::uint32_t>(saved.state.size()));
+    const std::vector<std::string_view> body = {fields, saved.state};
+    const std::string header = record_header(body);
+    const std::vector<std::string_view> record = {header, fields, saved.state};
+    return this->replace_file(snapshot_name, record);
+}
+
 absl::Status file_log_storage::install_snapshot(const snapshot& received)
 {
     if (!this->failure.ok()) {
         return this->failure;
     }
-    absl::Status status = this->replace_file(snapshot_name, pack_single_record(received));
+    absl::Status status = this->write_snapshot(received);
     if (status.ok()) {
         status = this->remove_entries_from({0});
     }
--- a/src/libreplication/record.cpp
+++ b/src/libreplication/record.cpp
@@ -1,5 +1,7 @@
 #include "record.h"
 
+#include <vector>
+
 #include "redwingwheel/digest.h"
 
 namespace redwingwheel::replication {
@@ -28,24 +30,25 @@
 
 } // namespace
 
-void append_record(std::string& out, std::string_view body)
+std::string record_header(std::span<const std::string_view> body_parts)
 {
-    append_record(out, [body](std::string& to) { to.append(body); });
+    std::size_t size = 0;
+    for (const std::string_view part : body_parts) {
+        size += part.size();
+    }
+    std::string length;
+    append_uint32(length, static_cast<std::uint32_t>(size));
+    std::vector<std::string_view> checked = {length};
+    checked.insert(checked.end(), body_parts.begin(), body_parts.end());
+    std::string header(record_magic);
+    append_uint32(header, digest::crc32c(checked));
+    return header + length;
 }
 
-void append_record(std::string& out, const std::function<void(std::string&)>& append_body)
+void append_record(std::string& out, std::string_view body)
 {
-    const std::size_t start = out.size();
-    out.append(record_magic);
-    append_uint32(out, 0);
-    append_uint32(out, 0);
-    append_body(out);
-    std::string length;
-    append_uint32(length, static_cast<std::uint32_t>(out.size() - start - record_header_bytes));
-    out.replace(start + length_offset, length.size(), length);
-    std::string crc;
-    append_uint32(crc, digest::crc32c(std::string_view(out).substr(start + length_offset)));
-    out.replace(start + crc_offset, crc.size(), crc);
+    out.append(record_header(std::span(&body, 1)));
+    out.append(body);
 }
 
 std::optional<record_view> read_record(std::string_view bytes, std::size_t offset)
--- a/src/libreplication/record.h
+++ b/src/libreplication/record.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <cstdint>
-#include <functional>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -21,8 +21,8 @@
 /// Appends a record with the given body to `out`.
 void append_record(std::string& out, std::string_view body);
 
-/// Appends a record whose body `append_body` appends, without a second copy of the body.
-void append_record(std::string& out, const std::function<void(std::string&)>& append_body);
+/// Returns the header of a record whose body consists of the parts, in their order.
+[[nodiscard]] std::string record_header(std::span<const std::string_view> body_parts);
 
 /// Returns the record at `offset`; empty when it is incomplete or corrupt.
 [[nodiscard]] std::optional<record_view> read_record(std::string_view bytes, std::size_t offset);
--- a/src/libutil/digest.cpp
+++ b/src/libutil/digest.cpp
@@ -26,9 +26,16 @@
 }
 
 std::uint32_t crc32c(std::string_view bytes)
+{
+    return crc32c(std::span(&bytes, 1));
+}
+
+std::uint32_t crc32c(std::span<const std::string_view> parts)
 {
     boost::crc_optimal<32, 0x1EDC6F41, 0xFFFFFFFF, 0xFFFFFFFF, true, true> crc;
-    crc.process_bytes(bytes.data(), bytes.size());
+    for (const std::string_view part : parts) {
+        crc.process_bytes(part.data(), part.size());
+    }
     return crc.checksum();
 }
 
--- a/src/libutil/json_text.cpp
+++ b/src/libutil/json_text.cpp
@@ -8,7 +8,15 @@
 
 std::string_view error_name(json_errc code)
 {
-    return code == json_errc::too_deep ? "too deep" : "malformed";
+    switch (code) {
+    case json_errc::too_deep:
+        return "too deep";
+    case json_errc::too_many:
+        return "too many values";
+    case json_errc::malformed:
+        break;
+    }
+    return "malformed";
 }
 
 absl::StatusCode error_category(json_errc code)
@@ -17,10 +25,18 @@
     return absl::StatusCode::kInvalidArgument;
 }
 
-std::size_t nesting_depth(std::string_view text)
+namespace {
+
+struct extent {
+    std::size_t depth = 0;      ///< Arrays and objects that contain each other.
+    std::size_t separators = 0; ///< Commas outside texts.
+};
+
+/// Reads brackets and commas only, in linear time and without a tree.
+extent measure(std::string_view text)
 {
+    extent found;
     std::size_t depth = 0;
-    std::size_t deepest = 0;
     bool in_string = false;
     bool escaped = false;
     for (const char letter : text) {
@@ -35,21 +51,35 @@
             in_string = true;
         }
         else if (letter == '[' || letter == '{') {
-            deepest = std::max(deepest, ++depth);
+            found.depth = std::max(found.depth, ++depth);
         }
         else if ((letter == ']' || letter == '}') && depth > 0) {
             --depth;
         }
+        else if (letter == ',') {
+            ++found.separators;
+        }
     }
-    return deepest;
+    return found;
 }
 
-absl::StatusOr<nlohmann::json> parse(std::string_view text)
+} // namespace
+
+std::size_t nesting_depth(std::string_view text)
 {
-    const std::size_t depth = nesting_depth(text);
-    if (depth > max_depth) {
+    return measure(text).depth;
+}
+
+absl::StatusOr<nlohmann::json> parse(std::string_view text, std::size_t max_separators)
+{
+    const extent size = measure(text);
+    if (size.depth > max_depth) {
         return make_error(json_errc::too_deep,
-                          fmt::format("nested {} deep, allowed {}", depth, max_depth));
+                          fmt::format("nested {} deep, allowed {}", size.depth, max_depth));
+    }
+    if (size.separators > max_separators) {
+        return make_error(json_errc::too_many,
+                          fmt::format("{} commas, allowed {}", size.separators, max_separators));
     }
     nlohmann::json value = nlohmann::json::parse(text.begin(), text.end(), nullptr, false);
     if (value.is_discarded()) {
--- a/src/redwingwheeld/main.cpp
+++ b/src/redwingwheeld/main.cpp
@@ -4,6 +4,7 @@
 #include <iostream>
 #include <sstream>
 
+#include <malloc.h>
 #include <popt.h>
 #include <spdlog/async.h>
 #include <spdlog/sinks/basic_file_sink.h>
@@ -158,6 +159,17 @@
     return exit_success;
 }
 
+/// Large buffers, such as those of snapshots and bodies, are returned to the system when they are
+/// freed. By default the allocator soon keeps them in the heap of one of many threads.
+void limit_kept_memory()
+{
+    constexpr int mapped_from_bytes = 256 * 1024;
+    constexpr int max_arenas = 2;
+    mallopt(M_MMAP_THRESHOLD, mapped_from_bytes);
+    mallopt(M_TRIM_THRESHOLD, 2 * mapped_from_bytes);
+    mallopt(M_ARENA_MAX, max_arenas);
+}
+
 std::string strip_trailing_whitespace(std::string text)
 {
     while (!text.empty() && std::isspace(static_cast<unsigned char>(text.back())) != 0) {
@@ -170,6 +182,7 @@
 
 int main(int argc, const char** argv)
 {
+    limit_kept_memory();
     arguments parsed_arguments;
     const std::optional<int> early_exit_status = parse_arguments(argc, argv, parsed_arguments);
     if (early_exit_status.has_value()) {
--- a/src/testing/job_crowd.cpp
+++ b/src/testing/job_crowd.cpp
@@ -29,6 +29,7 @@
 using std::chrono::milliseconds;
 
 constexpr int exit_bad_input = 2;
+constexpr std::string_view number_mark = "@number@";
 constexpr std::size_t read_buffer_bytes = 16 * 1024;
 /// A request without a response after this time is given up.
 constexpr milliseconds max_response_time{20'000};
@@ -39,7 +40,7 @@
     std::string path;   ///< At its end a slash, unless `fixed_path`; the job's id follows.
     std::string header; ///< A further header field; empty: none.
     bool fixed_path = false;
-    std::string body;
+    std::string body; ///< `number_mark` in it is replaced by the number of the request, from 1.
     std::size_t jobs = 0;
     std::size_t connections = 1;
     bool cancel = false;            ///< Each job is cancelled after it was submitted.
@@ -125,7 +126,11 @@
         const std::string header =
             this->options.header.empty() ? "" : this->options.header + "\r\n";
         const std::string_view id = this->options.fixed_path ? std::string_view() : of.job;
-        const std::string_view body = of.cancels ? std::string_view() : this->options.body;
+        std::string body = of.cancels ? "" : this->options.body;
+        const std::size_t mark = body.find(number_mark);
+        if (mark != std::string::npos) {
+            body.replace(mark, number_mark.size(), std::to_string(this->begun));
+        }
         of.request = fmt::format("{} {}{} HTTP/1.1\r\nHost: {}\r\n{}Content-Type: application/json"
                                  "\r\nContent-Length: {}\r\n\r\n{}",
                                  of.cancels ? "DELETE" : "POST", this->options.path, id,
@@ -238,7 +243,8 @@
         {"path", 0, POPT_ARG_STRING, &path, 0, "path to which the id of each job is added", "PATH"},
         {"fixed-path", 0, POPT_ARG_NONE, &fixed_path, 0, "add no id to the path", nullptr},
         {"header", 0, POPT_ARG_STRING, &header, 0, "further header field", "NAME: VALUE"},
-        {"body-file", 0, POPT_ARG_STRING, &body_file, 0, "body of each submission", "FILE"},
+        {"body-file", 0, POPT_ARG_STRING, &body_file, 0,
+         "body of each request; @number@ in it is replaced by the request's number", "FILE"},
         {"report", 0, POPT_ARG_STRING, &report_file, 0, "gets a line for each submission", "FILE"},
         {"jobs", 0, POPT_ARG_INT, &jobs, 0, "number of jobs", "N"},
         {"connections", 0, POPT_ARG_INT, &connections, 0, "number of clients", "N"},
--- a/testsuite/accepted_jobs/run.sh
+++ b/testsuite/accepted_jobs/run.sh
@@ -23,13 +23,18 @@
 disk_within() { [ "$(disk_used_kb "$1")" -le "$disk_kb" ]; }
 
 # Two accounts with a queue of their own, beside the public one.
+routes='{"Name":"q","Host":"h.example","PathPrefix":"/q/","Type":"non_idempotent","TimeoutMs":3000,
+    "Priority":1,"Service":"s","MaxAttempts":2,"Stretch":3.0,"Public":true},
+    {"Name":"k","Host":"h.example","PathPrefix":"/k/","Type":"non_idempotent","TimeoutMs":3000,
+    "Priority":0,"Service":"s","MaxAttempts":2,"Stretch":3.0}'
+accounts='{"Name":"a","ApiKeys":["key-a"]},{"Name":"b","ApiKeys":["key-b"]}'
+
+# configuration VERSION ROUTES
+configuration() {
+    echo '{"Version":'"$1"',"Routes":['"$2"'],"Services":[{"Name":"s"}],"Tenants":['"$accounts"']}'
+}
 installed() {
-    [ "$(status $((port + 3)) /Config.Put -d '{"Version":1,"Routes":[
-        {"Name":"q","Host":"h.example","PathPrefix":"/q/","Type":"non_idempotent","TimeoutMs":3000,
-         "Priority":1,"Service":"s","MaxAttempts":2,"Stretch":3.0,"Public":true},
-        {"Name":"k","Host":"h.example","PathPrefix":"/k/","Type":"non_idempotent","TimeoutMs":3000,
-         "Priority":0,"Service":"s","MaxAttempts":2,"Stretch":3.0}],"Services":[{"Name":"s"}],
-        "Tenants":[{"Name":"a","ApiKeys":["key-a"]},{"Name":"b","ApiKeys":["key-b"]}]}')" = 200 ]
+    [ "$(status $((port + 3)) /Config.Put -d "$(configuration 1 "$routes")")" = 200 ]
 }
 
 # submitted_with_key PORT KEY
@@ -73,8 +78,8 @@
             return 1
     done
 }
-accepted_known() { states_are 200 200; }
-refused_unknown() { states_are 503 410 && states_are 429 410; }
+accepted_known() { [ -z "$queue" ] || states_are 200 200; }
+refused_unknown() { [ -z "$queue" ] || { states_are 503 410 && states_are 429 410; }; }
 
 # crowd_of JOBS CONNECTIONS QUEUE ARGUMENT...: submits the body in $suite_out/body as often.
 crowd_of() {
@@ -207,6 +212,35 @@
     echo '{"Spec":"'"$(spec 4000)"'","Steps":['"$step"']}' > "$suite_out/body"
     crowd_of 20000 60 q
     ;;
+configurations | same_configuration) # The largest that the operators' listener takes.
+    queue=
+    version=@number@
+    if [ "$crowd" = same_configuration ]; then
+        version=2
+    fi
+    configuration "$version" "$routes,$(seq 5000 | awk '{printf "%s{\"Name\":\"r%05d\"," \
+        "\"Host\":\"host%05d.example\",\"PathPrefix\":\"/path%05d/\"," \
+        "\"Type\":\"non_idempotent\",\"TimeoutMs\":3000,\"TargetLatencyMs\":3000," \
+        "\"Priority\":2,\"Service\":\"s\",\"MaxAttempts\":2,\"Stretch\":3.0}",
+        (NR > 1 ? "," : ""), $1, $1, $1}')" > "$suite_out/body"
+    "$bin_dir/job-crowd-stand-in" --ip 127.0.0.1 --port $((port + 3)) --host operators.example \
+        --path /Config.Put --fixed-path --body-file "$suite_out/body" --jobs 300 \
+        --connections 100 | tee "$suite_out/crowd.out"
+    check "the crowd has sent its configurations" grep -q '^sent' "$suite_out/crowd.out"
+    ;;
+mixed) # Crowds one after the other, so that the state is as full as it gets when the next one comes.
+    for payload_bytes in 4000 300; do
+        echo '{"Spec":"'"$(spec $payload_bytes)"'","Steps":['"$step"']}' > "$suite_out/body"
+        crowd_of 60000 200 q
+    done
+    echo '{"Spec":"'"$(spec 4000)"'","Steps":['"$(repeat 20 "$step")"']}' > "$suite_out/body"
+    crowd_of 10000 60 k --header 'Api-Key: key-a' --cancel
+    echo '{"Spec":"x","Steps":['"$(repeat 7000 "$step")"']}' > "$suite_out/body"
+    crowd_of 200 100 q
+    # As many values as a body of the largest size can hold.
+    echo '{"Spec":"x","Steps":['"$step"'],"x":['"$(repeat 300000 '{}')"']}' > "$suite_out/body"
+    crowd_of 200 100 q
+    ;;
 cancelled) # Each job is cancelled at once.
     echo '{"Spec":"'"$(spec 4000)"'","Steps":['"$(repeat 20 "$step")"']}' > "$suite_out/body"
     crowd_of 10000 60 q --cancel
