--- a/testsuite/accepted_jobs/run.sh
+++ b/testsuite/accepted_jobs/run.sh
@@ -198,7 +198,7 @@
     ;;
 small) # Jobs of ordinary size.
     echo '{"Spec":"'"$(spec 300)"'","Steps":['"$step"']}' > "$suite_out/body"
-    crowd_of 20000 60 q
+    crowd_of 40000 60 q
     ;;
 payloads) # The largest payload that a job may have.
     echo '{"Spec":"'"$(spec 4000)"'","Steps":['"$step"']}' > "$suite_out/body"
