--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 11 to 15 into target/review-3, after the build of the deploy file.
+# Builds the stand-ins of the cases 11 to 14 into target/review-3, after the build of the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
