Give the runs of a worker that is lost for good to other workers

Cause: the leader gives runs away when their worker has ended or the permit of its supervisor has expired. A supervisor renews its permit whether or not its worker answers, and takes a worker for ended only after a notice or when a successor answers. The end of the worker's lease, which it could not extend any more, was not used.

Evidence: logs of the case show `worker_unreachable`, polls that go on, an eviction for "no progress", stops that nobody acknowledges, and no `run_given_up`. Ruled out: a release that is decided and not committed (no such line), and that the unacknowledged stop holds it up (the runs stay without a stop as well, unit test).

Change: the supervisor reports the lease as expired once the worker's clock, counted at 0.98 on a clock that stands still with the host, has passed each deadline that the worker may have received, and 12 s after the last start that got no answer, which the next incarnation under the same id might carry out. It gives its permit back first and takes none from answers to earlier polls. The leader then releases the runs. The list that a supervisor repeats without contact is no sign of a stall any more, a run that a lost incarnation has listed for its predecessor is released, and a lost worker is asked once a second instead of seven times.

A failed try: to withhold the permit while the worker does not answer.

Why it works: the protocol ends everything with the lease, on the worker's clock, which is at most 2% slow, and each deadline is a time on that clock, so that no late order extends it.

Tests: with the report of the supervisor and its use by the leader taken out, 6 of the new tests of the scheduler, 5 of the supervisor and 2 of the simulation fail. The worker that is lost in the simulation is a new kind of fault that all_faults leaves out, so that the courses of the seeds in other tests stay.

--- a/src/include/redwingwheel/clock.h
+++ b/src/include/redwingwheel/clock.h
@@ -39,6 +39,17 @@
     return [] { return boot_clock::now(); };
 }
 
+/// Time for which the machine has been awake. It stands still during a suspension, like the clocks
+/// of other processes on the machine that are not made for this.
+using awake_time = std::chrono::steady_clock::time_point;
+using awake_clock_function = std::function<awake_time()>;
+
+/// An awake_clock_function that reads std::chrono::steady_clock.
+[[nodiscard]] inline awake_clock_function steady_clock_function()
+{
+    return [] { return std::chrono::steady_clock::now(); };
+}
+
 /// A clock that advances only on request, for tests and replays. Must outlive its function().
 class manual_clock {
 public:
--- a/src/include/redwingwheel/job_messages.h
+++ b/src/include/redwingwheel/job_messages.h
@@ -54,8 +54,11 @@
     std::vector<ended_incarnation> ended_incarnations;
     /// Digest of the orders in the last answer that the supervisor received; 0 when there is none.
     std::uint64_t orders_digest = 0;
+    /// Unless the worker answers, `running` is what it listed last. `answers` in polls of processes
+    /// that do not know the field.
+    jobs::worker_contact contact = jobs::worker_contact::answers;
     MSGPACK_DEFINE(supervisor, sequence, worker, running, ended_runs, refused_starts,
-                   ended_incarnations, orders_digest, process, fencing_token, unconfirmed)
+                   ended_incarnations, orders_digest, process, fencing_token, unconfirmed, contact)
 };
 
 struct start_order {
@@ -80,7 +83,8 @@
     /// there are no permit and no orders, and the other fields but `recorded_incarnations` are
     /// unset.
     bool has_orders = false;
-    /// Lifetime of the permit to renew leases, from the time at which the poll was sent.
+    /// Lifetime of the permit to renew leases, from the time at which the poll was sent. 0 when the
+    /// poll reports the lease as expired: no permit.
     std::uint64_t permit_ms = 0;
     /// Number of the last ended run of the worker that is recorded; 0: none.
     std::uint64_t last_recorded_end = 0;
--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -33,6 +33,16 @@
                    remaining_ms, reachable)
 };
 
+/// Whether a worker answers the renewals of its supervisor.
+enum class worker_contact : std::uint8_t {
+    answers,
+    lost, ///< It has not answered the last renewal. Its lease is not being extended.
+    /// It does not answer, every lease that it may have got has expired on its own clock, and no
+    /// order can be carried out any more: nothing runs on it. Its supervisor has no permit, and
+    /// does not use one that it asked for before.
+    lease_expired,
+};
+
 /// A run that a worker lists as running.
 struct run_progress {
     run_id run;
@@ -171,8 +181,12 @@
     void begin_leadership();
 
     /// Records a worker's report from a poll of its supervisor, which must be the latest report on
-    /// that host. A host runs one worker: all other incarnations on it have ended.
-    void record_report(const worker_description& worker, const std::vector<run_progress>& running);
+    /// that host. A host runs one worker: all other incarnations on it have ended. The report of a
+    /// supervisor that gets no answer from its worker repeats an earlier list of runs, and tells
+    /// nothing of runs that are known already. Once the lease has expired, the runs on the worker
+    /// are released, and its supervisor must get no permit.
+    void record_report(const worker_description& worker, const std::vector<run_progress>& running,
+                       worker_contact contact = worker_contact::answers);
 
     /// Records that a permit is sent to the worker's supervisor, which is expected to poll again.
     void record_permit(const worker_incarnation& worker);
@@ -191,6 +205,9 @@
     /// it is valid. Permits of an earlier leader count as given when this one took over.
     [[nodiscard]] milliseconds time_since_permit(const worker_incarnation& worker) const;
 
+    /// What the last report of the worker's supervisor said; `answers` when there is none.
+    [[nodiscard]] worker_contact contact_with(const worker_incarnation& worker) const;
+
     /// Records how a run ended, to tell faulty workers from faulty jobs.
     void record_run_end(const worker_incarnation& worker, const ended_run& end);
 
@@ -239,6 +256,7 @@
         /// When the last poll of its supervisor was answered; empty once the next poll has arrived.
         std::optional<steady_time> poll_answered_at;
         bool ended = false;
+        worker_contact contact = worker_contact::answers;
         steady_time excluded_until;
         worker_trust trust;
     };
@@ -316,7 +334,11 @@
                                          const pending_step& pending) const;
     void remove_ended_entries();
     void release_runs_of_lost_workers(scheduling_round& round);
-    [[nodiscard]] bool is_listed_on_host(const run_id& run, std::string_view host) const;
+    [[nodiscard]] steady_time permit_end(const worker_incarnation& worker) const;
+    /// True when nothing runs on the worker any more: it has ended, or its lease has expired.
+    [[nodiscard]] bool is_lost(const worker_incarnation& worker, steady_time now) const;
+    [[nodiscard]] bool is_listed_on_host(const run_id& run, std::string_view host,
+                                         steady_time now) const;
     void stop_stalled(scheduling_round& round);
     void count_stall_as_failure(const scheduling_round& round, const run_id& run);
     [[nodiscard]] bool has_progressed_since(const worker_incarnation& worker,
@@ -468,3 +490,5 @@
 };
 
 } // namespace redwingwheel::jobs
+
+MSGPACK_ADD_ENUM(redwingwheel::jobs::worker_contact)
--- a/src/include/redwingwheel/scheduler_service.h
+++ b/src/include/redwingwheel/scheduler_service.h
@@ -61,7 +61,7 @@
     std::size_t withdraw_excess_starts(const worker_incarnation& worker);
     void log_evictions(const std::vector<eviction>& evictions);
     [[nodiscard]] messages::worker_poll_answer
-    build_poll_answer(const worker_incarnation& worker) const;
+    build_poll_answer(const messages::worker_poll& poll) const;
     [[nodiscard]] std::vector<worker_incarnation>
     recorded_incarnations(const messages::worker_poll& poll) const;
     [[nodiscard]] bool has_recorded_ends(const messages::worker_poll& poll) const;
--- a/src/include/redwingwheel/supervisor.h
+++ b/src/include/redwingwheel/supervisor.h
@@ -28,6 +28,13 @@
     milliseconds pause_after_failure{150};
     /// Pause after a failed renewal of a worker that has deregistered.
     milliseconds pause_after_deregistration{30};
+    /// Pause after a failed renewal of a worker whose lease has expired meanwhile. It may never
+    /// come back.
+    milliseconds pause_after_lease{1000};
+    /// Time in which a worker ends its runs when its lease expires.
+    milliseconds lease_margin{300};
+    /// Longest time after which an order without an answer may be carried out.
+    milliseconds max_order_delay{12'000};
     /// An announced incarnation that the worker has not confirmed is forgotten after this time
     /// without a further announcement. Covers several announcement intervals.
     milliseconds unconfirmed_lifetime{5000};
@@ -57,10 +64,17 @@
 /// The lease counts on the worker's clock, which stands still while the host is suspended, and the
 /// leader may give runs away in that time. An end from before is acknowledged only after the lease
 /// has expired, which voids it.
+///
+/// A worker that does not answer may have crashed, or run on. Its runs are over when its clock has
+/// passed every deadline that it may have received. The clock is at most 2% slow, but stands still
+/// with the host. A start that got no answer may still be carried out by the next incarnation,
+/// whose clock begins anew; it is waited for as well. The supervisor then gives its permit back,
+/// and reports the lease as expired.
 class supervisor {
 public:
-    supervisor(const supervisor_options& options, clock_function clock, worker_port& port,
-               supervisor_hooks hooks);
+    /// `clock` counts the time while the host is suspended, `awake_clock` does not.
+    supervisor(const supervisor_options& options, clock_function clock,
+               awake_clock_function awake_clock, worker_port& port, supervisor_hooks hooks);
 
     /// Handles an announcement of the worker. `sequence` increases with each announcement of an
     /// incarnation; outdated announcements are ignored.
@@ -119,6 +133,9 @@
     void renew();
     void renew_after(milliseconds pause);
     void set_reachable(bool reachable);
+    [[nodiscard]] worker_contact contact() const;
+    void check_lease_expired();
+    [[nodiscard]] milliseconds pause_before_renewal() const;
     void on_renewal(std::uint64_t token, const absl::StatusOr<worker_listing>& listing);
     void on_renewal_failed(const absl::Status& status);
     void watch_permit();
@@ -146,6 +163,7 @@
 
     supervisor_options options;
     clock_function clock;
+    awake_clock_function awake_clock;
     worker_port& port;
     supervisor_hooks hooks;
     std::optional<worker_description> worker;
@@ -162,6 +180,7 @@
 
     std::optional<worker_time_ms> worker_clock;
     steady_time worker_clock_read_at;
+    awake_time worker_clock_read_awake_at;
     /// On the worker's clock. Starts that an earlier process of the supervisor sent may be carried
     /// out until then.
     worker_time_ms predecessor_deadline = 0;
@@ -178,6 +197,12 @@
 
     std::uint64_t term = 0;
     steady_time permit_until;
+    /// Answers to polls that were sent before give no permit.
+    steady_time permit_given_back_at;
+    bool lease_expired = false; ///< And the worker has not answered since.
+    /// When the last start was sent that got no answer, also by an earlier process of the
+    /// supervisor.
+    awake_time unanswered_start_at;
     bool permit_logged = false;
     bool permit_watched = false;
     bool has_orders = false;
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -49,7 +49,7 @@
 }
 
 void scheduler::record_report(const worker_description& worker,
-                              const std::vector<run_progress>& running)
+                              const std::vector<run_progress>& running, worker_contact contact)
 {
     const steady_time now = this->clock();
     for (auto& [incarnation, other] : this->workers) {
@@ -63,12 +63,18 @@
     tracked_worker& known = this->workers[worker.incarnation];
     this->record_capacity(known, worker);
     known.description = worker;
-    known.permit_until = now + this->options.permit_lifetime;
+    known.contact = contact;
+    if (contact != worker_contact::lease_expired) {
+        known.permit_until = now + this->options.permit_lifetime;
+    }
     known.poll_answered_at.reset();
     known.listed.clear();
     for (const run_progress& each : running) {
         known.listed.insert(each.run);
         tracked_run& run = this->runs[each.run];
+        if (contact != worker_contact::answers && run.listed) {
+            continue;
+        }
         if (!run.listed || run.percent != each.percent) {
             run.last_progress = now;
         }
@@ -117,13 +123,17 @@
     return known != this->workers.end() && known->second.ended;
 }
 
-milliseconds scheduler::time_since_permit(const worker_incarnation& worker) const
+/// Permits of an earlier leader may last until `permit_lifetime` from the beginning of the term.
+steady_time scheduler::permit_end(const worker_incarnation& worker) const
 {
     const auto known = this->workers.find(worker);
-    const steady_time permit_until =
-        std::max(this->leading_since + this->options.permit_lifetime,
-                 known == this->workers.end() ? steady_time() : known->second.permit_until);
-    return std::chrono::duration_cast<milliseconds>(this->clock() - permit_until);
+    return std::max(this->leading_since + this->options.permit_lifetime,
+                    known == this->workers.end() ? steady_time() : known->second.permit_until);
+}
+
+milliseconds scheduler::time_since_permit(const worker_incarnation& worker) const
+{
+    return std::chrono::duration_cast<milliseconds>(this->clock() - this->permit_end(worker));
 }
 
 void scheduler::record_run_end(const worker_incarnation& worker, const ended_run& end)
@@ -144,6 +154,12 @@
                                this->options.suspect_duration);
 }
 
+worker_contact scheduler::contact_with(const worker_incarnation& worker) const
+{
+    const auto known = this->workers.find(worker);
+    return known == this->workers.end() ? worker_contact::answers : known->second.contact;
+}
+
 std::int64_t scheduler::run_time_ms(const run_id& run) const
 {
     const auto known = this->runs.find(run);
--- a/src/libjobs/scheduler_runs.cpp
+++ b/src/libjobs/scheduler_runs.cpp
@@ -17,20 +17,14 @@
 void scheduler::release_runs_of_lost_workers(scheduling_round& round)
 {
     for (const auto& [worker, on_worker] : this->state.assigned_runs()) {
-        const auto known = this->workers.find(worker);
-        steady_time permit_until = this->leading_since + this->options.permit_lifetime;
-        if (known != this->workers.end()) {
-            permit_until = known->second.ended ? steady_time()
-                                               : std::max(permit_until, known->second.permit_until);
-        }
-        const bool ended = known != this->workers.end() && known->second.ended;
-        const bool lost = ended || round.now >= permit_until + this->options.permit_margin;
+        const bool ended = this->has_ended(worker);
+        const bool lost = this->is_lost(worker, round.now);
         for (const run_id& run : on_worker) {
             // An earlier release that was not committed is decided again.
             if (!lost && !this->releasing.contains(run)) {
                 continue;
             }
-            if (ended && this->is_listed_on_host(run, worker.host)) {
+            if (ended && this->is_listed_on_host(run, worker.host, round.now)) {
                 continue;
             }
             this->releasing.insert(run);
@@ -41,13 +35,21 @@
     }
 }
 
+bool scheduler::is_lost(const worker_incarnation& worker, steady_time now) const
+{
+    return this->has_ended(worker) || this->contact_with(worker) == worker_contact::lease_expired ||
+           now >= this->permit_end(worker) + this->options.permit_margin;
+}
+
 /// True when a worker on the host lists the run as running. An order for an ended incarnation can
 /// be carried out by the next one with the same id; the supervisor stops such a run.
-bool scheduler::is_listed_on_host(const run_id& run, std::string_view host) const
+bool scheduler::is_listed_on_host(const run_id& run, std::string_view host, steady_time now) const
 {
-    return std::any_of(this->workers.begin(), this->workers.end(), [&run, host](const auto& each) {
-        return each.first.host == host && !each.second.ended && each.second.listed.contains(run);
-    });
+    return std::any_of(this->workers.begin(), this->workers.end(),
+                       [this, &run, host, now](const auto& each) {
+                           return each.first.host == host && each.second.listed.contains(run) &&
+                                  !this->is_lost(each.first, now);
+                       });
 }
 
 void scheduler::stop_stalled(scheduling_round& round)
--- a/src/libjobs/scheduler_world.h
+++ b/src/libjobs/scheduler_world.h
@@ -43,6 +43,16 @@
         this->decisions.record_report(this->workers[id], running);
     }
 
+    /// Reports like a supervisor whose worker has listed `running` last and does not answer any
+    /// more. It gets no permit.
+    void report_lost_contact(const std::string& id, const std::vector<run_progress>& running = {},
+                             worker_contact contact = worker_contact::lost)
+    {
+        worker_description described = this->workers[id];
+        described.reachable = false;
+        this->decisions.record_report(described, running, contact);
+    }
+
     void submit(const std::string& id, const std::string& queue, std::uint32_t tasks,
                 std::int64_t accelerators, bool gang = false, bool same_rack = false,
                 const std::string& key = "key", std::int64_t estimate_ms = 5000)
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -265,6 +265,9 @@
     if (this->job_scheduler.has_ended(worker)) {
         return "worker_ended";
     }
+    if (this->job_scheduler.contact_with(worker) == worker_contact::lease_expired) {
+        return "lease_expired";
+    }
     const bool expired = this->job_scheduler.time_since_permit(worker) >= milliseconds(0);
     return expired ? "permit_expired" : "start_refused";
 }
--- a/src/libscheduler/scheduler_service_polls.cpp
+++ b/src/libscheduler/scheduler_service_polls.cpp
@@ -81,7 +81,7 @@
     // Its lease has to expire first.
     described.reachable =
         described.reachable && !this->state.has_superseded_end(worker, poll.ended_runs);
-    this->job_scheduler.record_report(described, poll.running);
+    this->job_scheduler.record_report(described, poll.running, poll.contact);
     const resources& after = poll.worker.capacity;
     if (!before.has_value() || *before == after) {
         return;
@@ -199,12 +199,15 @@
 }
 
 messages::worker_poll_answer
-scheduler_service::build_poll_answer(const worker_incarnation& worker) const
+scheduler_service::build_poll_answer(const messages::worker_poll& poll) const
 {
+    const worker_incarnation& worker = poll.worker.incarnation;
     messages::worker_poll_answer made;
     made.has_orders = true;
-    made.permit_ms =
-        static_cast<std::uint64_t>(this->job_scheduler.settings().permit_lifetime.count());
+    if (poll.contact != worker_contact::lease_expired) {
+        made.permit_ms =
+            static_cast<std::uint64_t>(this->job_scheduler.settings().permit_lifetime.count());
+    }
     made.last_recorded_end = this->state.last_recorded_end(worker);
     made.last_superseded_end = this->state.last_superseded_end(worker);
     std::vector<run_id> unconfirmed;
@@ -291,8 +294,8 @@
             // An assignment may have been committed after the report that shows a smaller capacity.
             this->withdraw_excess_starts(worker);
         }
-        messages::worker_poll_answer made =
-            waiting.current ? this->build_poll_answer(worker) : messages::worker_poll_answer();
+        messages::worker_poll_answer made = waiting.current ? this->build_poll_answer(waiting.poll)
+                                                            : messages::worker_poll_answer();
         made.term = this->term;
         const bool needs_token =
             !waiting.poll.unconfirmed.empty() || (!worker.id.empty() && !waiting.current);
@@ -302,7 +305,7 @@
             ++each;
             continue;
         }
-        if (waiting.current) {
+        if (made.permit_ms > 0) {
             this->job_scheduler.record_permit(worker);
         }
         made.tokens = this->issue_tokens(waiting);
--- a/src/libsupervisor/overlap_simulation_test.cpp
+++ b/src/libsupervisor/overlap_simulation_test.cpp
@@ -74,6 +74,29 @@
     check_seeds({fault_kind::worker_crash, fault_kind::late_announcements}, {5, 6});
 }
 
+// Failure: a worker crashes and does not come back, while its supervisor goes on, and its runs are
+// never started on another worker. The seeds also cover workers that drain, whose orders have no
+// answer, and whose supervisor or leader is restarted meanwhile.
+TEST_CASE("a job never ends when a worker is lost for good")
+{
+    check_seeds({fault_kind::worker_loss}, {1, 2, 3});
+    check_seeds({fault_kind::worker_loss, fault_kind::worker_shutdown}, {4, 5, 6});
+    check_seeds({fault_kind::worker_loss, fault_kind::held_up_orders}, {7, 8, 9});
+    check_seeds({fault_kind::worker_loss, fault_kind::supervisor_restart}, {10, 11, 12});
+    check_seeds({fault_kind::worker_loss, fault_kind::leader_change}, {13, 14, 15});
+    check_seeds({fault_kind::worker_loss, fault_kind::worker_crash}, {16, 17, 18});
+}
+
+// Failure: a worker that its supervisor cannot reach runs on, or comes back, and its runs have been
+// started on another worker before its lease has expired.
+TEST_CASE("a task runs twice when a worker does not answer its supervisor")
+{
+    check_seeds({fault_kind::worker_unreachable}, {1, 2, 3});
+    check_seeds({fault_kind::worker_unreachable, fault_kind::worker_loss}, {4, 5, 6});
+    check_seeds({fault_kind::worker_unreachable, fault_kind::supervisor_restart}, {7, 8, 9});
+    check_seeds({fault_kind::worker_unreachable, fault_kind::leader_change}, {10, 11, 12});
+}
+
 // Failure: the announcements of a worker that started before its predecessor by the time of day are
 // ignored, and the runs of its predecessor are never released.
 TEST_CASE("a job never ends when the time of day jumps back between two starts of a worker")
--- a/src/libsupervisor/supervisor.cpp
+++ b/src/libsupervisor/supervisor.cpp
@@ -91,9 +91,11 @@
     return absl::StatusCode::kUnknown;
 }
 
-supervisor::supervisor(const supervisor_options& chosen, clock_function now, worker_port& to_worker,
+supervisor::supervisor(const supervisor_options& chosen, clock_function now,
+                       awake_clock_function awake_now, worker_port& to_worker,
                        supervisor_hooks callbacks)
-    : options(chosen), clock(std::move(now)), port(to_worker), hooks(std::move(callbacks))
+    : options(chosen), clock(std::move(now)), awake_clock(std::move(awake_now)), port(to_worker),
+      hooks(std::move(callbacks)), unanswered_start_at(this->awake_clock())
 {
 }
 
@@ -211,9 +213,16 @@
                  listing.ok() ? "the answer is from another incarnation of the worker"
                               : std::string(listing.status().message()));
     this->on_renewal_failed(listing.status());
-    const milliseconds pause = this->deregistered ? this->options.pause_after_deregistration
-                                                  : this->options.pause_after_failure;
-    this->renew_after(pause);
+    this->renew_after(this->pause_before_renewal());
+}
+
+milliseconds supervisor::pause_before_renewal() const
+{
+    if (this->lease_expired) {
+        return this->options.pause_after_lease;
+    }
+    return this->deregistered ? this->options.pause_after_deregistration
+                              : this->options.pause_after_failure;
 }
 
 void supervisor::renew_after(milliseconds pause)
@@ -225,8 +234,48 @@
     });
 }
 
+worker_contact supervisor::contact() const
+{
+    if (this->worker->reachable) {
+        return worker_contact::answers;
+    }
+    return this->lease_expired ? worker_contact::lease_expired : worker_contact::lost;
+}
+
+/// Gives the permit back once no lease of a worker that does not answer can be valid any more.
+void supervisor::check_lease_expired()
+{
+    if (!this->worker.has_value() || this->worker->reachable || this->lease_expired) {
+        return;
+    }
+    const awake_time now = this->awake_clock();
+    const bool start_in_flight =
+        std::any_of(this->starts.begin(), this->starts.end(),
+                    [](const auto& each) { return each.second.in_flight; });
+    if (start_in_flight || now < this->unanswered_start_at + this->options.max_order_delay) {
+        return;
+    }
+    const double passed_ms =
+        std::chrono::duration<double, std::milli>(now - this->worker_clock_read_awake_at).count();
+    const worker_time_ms earliest =
+        *this->worker_clock + static_cast<worker_time_ms>(passed_ms * min_worker_clock_rate);
+    if (earliest <= this->granted_until + this->options.lease_margin.count()) {
+        return;
+    }
+    this->lease_expired = true;
+    this->permit_given_back_at = this->clock();
+    this->permit_until = std::min(this->permit_until, this->permit_given_back_at);
+    spdlog::info(
+        "event=lease_expired worker={} born={} granted_until={} worker_clock={} running={}",
+        this->worker->incarnation.id, this->worker->incarnation.started_unix_ms,
+        this->granted_until, earliest, this->running.size());
+    this->log_permit(false);
+    this->schedule_poll();
+}
+
 void supervisor::set_reachable(bool reachable)
 {
+    this->lease_expired = this->lease_expired && !reachable;
     if (this->worker->reachable != reachable) {
         this->worker->reachable = reachable;
         spdlog::info("event={} worker={} born={}",
@@ -244,6 +293,7 @@
         return;
     }
     this->set_reachable(false);
+    this->check_lease_expired();
     const bool refused = code == worker_errc::not_listening;
     this->refused_renewals = refused ? this->refused_renewals + 1 : 0;
     // A draining worker listens for at least as long as it announced to work. Not every worker
@@ -315,6 +365,7 @@
     }
     this->worker_clock = listing.clock;
     this->worker_clock_read_at = this->clock();
+    this->worker_clock_read_awake_at = this->awake_clock();
     this->listing_requested_at = this->renewal_sent_at;
     this->check_lapse(listing);
     this->running = listing.running;
@@ -358,7 +409,7 @@
 
 void supervisor::stop_unwanted()
 {
-    if (!this->has_orders) {
+    if (!this->has_orders || this->lease_expired) {
         return;
     }
     std::set<run_id> unwanted = this->withdrawn;
@@ -456,14 +507,17 @@
     start.in_flight = true;
     start.sent_at = this->clock();
     const worker_incarnation incarnation = start.worker;
-    this->port.start_run({start.worker, run, start.order.payload, start.order.checkpoint,
-                          start.deadline, this->fencing_token},
-                         [this, run, incarnation](start_result result) {
-                             if (this->worker.has_value() &&
-                                 this->worker->incarnation == incarnation) {
-                                 this->on_start_result(run, result);
-                             }
-                         });
+    this->port.start_run(
+        {start.worker, run, start.order.payload, start.order.checkpoint, start.deadline,
+         this->fencing_token},
+        [this, run, incarnation, sent_at = this->awake_clock()](start_result result) {
+            if (result == start_result::no_answer) {
+                this->unanswered_start_at = std::max(this->unanswered_start_at, sent_at);
+            }
+            if (this->worker.has_value() && this->worker->incarnation == incarnation) {
+                this->on_start_result(run, result);
+            }
+        });
 }
 
 void supervisor::on_start_result(const run_id& run, start_result result)
--- a/src/libsupervisor/supervisor_incarnations.cpp
+++ b/src/libsupervisor/supervisor_incarnations.cpp
@@ -56,7 +56,8 @@
                      this->worker->draining, sequence);
         this->schedule_poll();
     }
-    if (!this->renewing) {
+    // A worker whose renewals are paced after the end of its lease may answer again.
+    if (!this->renewing || this->lease_expired) {
         this->renew();
     }
 }
@@ -245,6 +246,7 @@
     this->ended_runs.clear();
     this->last_recorded_end = 0;
     this->granted_until = 0;
+    this->lease_expired = false;
     this->first_listed_end = 0;
     this->last_superseded_end = 0;
     this->last_lapsed_end = 0;
--- a/src/libsupervisor/supervisor_polls.cpp
+++ b/src/libsupervisor/supervisor_polls.cpp
@@ -33,6 +33,7 @@
     if (!this->renewing) {
         this->renew();
     }
+    this->check_lease_expired();
     if (!this->worker.has_value() && this->ended_incarnations.empty() &&
         this->unconfirmed.empty()) {
         return;
@@ -58,6 +59,7 @@
         }
         poll.worker = *this->worker;
         poll.worker.reachable = this->is_available();
+        poll.contact = this->contact();
         poll.worker.remaining_ms = remaining_until(this->drain_deadline, now).count();
         poll.running = this->running;
     }
@@ -111,7 +113,10 @@
         this->schedule_poll();
         return;
     }
-    this->hooks.run_at(this->clock() + this->options.pause_after_failure, [this] {
+    // A new leader can only repeat the token of a worker that does not answer under it.
+    const milliseconds pause =
+        this->lease_expired ? this->options.pause_after_lease : this->options.pause_after_failure;
+    this->hooks.run_at(this->clock() + pause, [this] {
         if (this->polls_in_flight == 0) {
             this->schedule_poll();
         }
@@ -138,8 +143,12 @@
     }
     const bool first = !this->has_orders;
     this->term = answer.term;
-    this->permit_until = std::max(this->permit_until, sent_at + milliseconds(answer.permit_ms));
-    this->watch_permit();
+    if (sent_at >= this->permit_given_back_at) {
+        this->permit_until = std::max(this->permit_until, sent_at + milliseconds(answer.permit_ms));
+    }
+    if (this->has_permit()) {
+        this->watch_permit();
+    }
     this->has_orders = true;
     this->orders_digest = answer.orders_digest;
     this->last_recorded_end = std::max(this->last_recorded_end, answer.last_recorded_end);
--- a/src/libsupervisor/testing/leader_model.cpp
+++ b/src/libsupervisor/testing/leader_model.cpp
@@ -93,7 +93,7 @@
     worker_description described = poll.worker;
     described.reachable =
         described.reachable && !this->state.has_superseded_end(worker, poll.ended_runs);
-    this->job_scheduler.record_report(described, poll.running);
+    this->job_scheduler.record_report(described, poll.running, poll.contact);
     if (before.has_value() && *before != poll.worker.capacity) {
         log_evictions(this->job_scheduler.withdraw_excess_starts(worker));
     }
@@ -155,12 +155,16 @@
     }
 }
 
-messages::worker_poll_answer leader_model::build_poll_answer(const worker_incarnation& worker) const
+messages::worker_poll_answer
+leader_model::build_poll_answer(const messages::worker_poll& poll) const
 {
+    const worker_incarnation& worker = poll.worker.incarnation;
     messages::worker_poll_answer made;
     made.has_orders = true;
-    made.permit_ms =
-        static_cast<std::uint64_t>(this->job_scheduler.settings().permit_lifetime.count());
+    if (poll.contact != worker_contact::lease_expired) {
+        made.permit_ms =
+            static_cast<std::uint64_t>(this->job_scheduler.settings().permit_lifetime.count());
+    }
     made.last_recorded_end = this->state.last_recorded_end(worker);
     made.last_superseded_end = this->state.last_superseded_end(worker);
     std::vector<run_id> unconfirmed;
@@ -237,8 +241,8 @@
         if (waiting.current) {
             log_evictions(this->job_scheduler.withdraw_excess_starts(worker));
         }
-        messages::worker_poll_answer made =
-            waiting.current ? this->build_poll_answer(worker) : messages::worker_poll_answer();
+        messages::worker_poll_answer made = waiting.current ? this->build_poll_answer(waiting.poll)
+                                                            : messages::worker_poll_answer();
         made.term = this->term;
         const bool needs_token =
             !waiting.poll.unconfirmed.empty() || (!worker.id.empty() && !waiting.current);
@@ -248,7 +252,7 @@
             ++each;
             continue;
         }
-        if (waiting.current) {
+        if (made.permit_ms > 0) {
             this->job_scheduler.record_permit(worker);
         }
         made.tokens = this->issue_tokens(waiting);
--- a/src/libsupervisor/testing/leader_model.h
+++ b/src/libsupervisor/testing/leader_model.h
@@ -54,7 +54,7 @@
                             const std::vector<ended_run>& ended_runs);
     void release_refused_starts(const messages::worker_poll& poll);
     [[nodiscard]] messages::worker_poll_answer
-    build_poll_answer(const worker_incarnation& worker) const;
+    build_poll_answer(const messages::worker_poll& poll) const;
     [[nodiscard]] std::vector<worker_incarnation>
     recorded_incarnations(const messages::worker_poll& poll) const;
     [[nodiscard]] bool has_recorded_ends(const messages::worker_poll& poll) const;
--- a/src/libsupervisor/testing/overlap_faults.cpp
+++ b/src/libsupervisor/testing/overlap_faults.cpp
@@ -13,9 +13,11 @@
     "lossy_network",         "partition",          "supervisor_restart", "supervisor_freeze",
     "host_suspension",       "worker_crash",       "clock_step",         "worker_shutdown",
     "capacity_change",       "worker_unreachable", "held_up_orders",     "late_announcements",
-    "foreign_announcements", "leader_change",      "slow_commits"};
+    "foreign_announcements", "leader_change",      "slow_commits",       "worker_loss"};
 
 constexpr milliseconds drain_time{2000};
+/// Of the workers at most this share is lost, so that the others can carry out all jobs.
+constexpr std::size_t hosts_per_lost_worker = 2;
 /// A lease may last this long after a suspension.
 constexpr milliseconds max_lease{6000};
 constexpr std::int64_t cpu_unit = 500;
@@ -43,6 +45,7 @@
     for (std::size_t each = 0; each < fault_kind_count; ++each) {
         all.insert(static_cast<fault_kind>(each));
     }
+    all.erase(fault_kind::worker_loss);
     return all;
 }
 
@@ -117,6 +120,9 @@
     case fault_kind::worker_crash:
         this->crash_worker(at);
         return;
+    case fault_kind::worker_loss:
+        this->lose_worker(at);
+        return;
     case fault_kind::clock_step:
         at.time_of_day_offset_ms -= 1000 + static_cast<std::int64_t>(this->random.index(100'000));
         return;
@@ -183,8 +189,9 @@
     at.suspended_until = end;
     at.protected_until = end + max_lease;
     at.held_up_share = 0.0;
-    this->events.run_at(end, [&at] {
+    this->events.run_at(end, [&at, duration = end - this->events.now()] {
         spdlog::info("sim: {} continues after a suspension", at.name);
+        at.suspended_for += duration;
         at.worker.resume();
     });
 }
@@ -209,7 +216,21 @@
     this->end_worker(at, at.worker.lifetime_number());
 }
 
-/// Ends the lifetime and begins another one a while later.
+/// The worker may be draining, suspended or unreachable when it is lost.
+void overlap_simulation::lose_worker(host& at)
+{
+    const auto lost = std::count_if(this->hosts.begin(), this->hosts.end(),
+                                    [](const auto& each) { return each->worker_lost; });
+    if (!at.worker.is_up() ||
+        static_cast<std::size_t>(lost + 1) * hosts_per_lost_worker > this->hosts.size()) {
+        return;
+    }
+    spdlog::info("sim: the worker of {} is lost for good", at.name);
+    at.worker_lost = true;
+    this->end_worker(at, at.worker.lifetime_number());
+}
+
+/// Ends the lifetime and begins another one a while later, unless the worker is lost.
 void overlap_simulation::end_worker(host& at, std::uint64_t lifetime)
 {
     if (!at.worker.is_up() || at.worker.lifetime_number() != lifetime) {
@@ -222,6 +243,9 @@
     }
     spdlog::info("sim: worker {} of {} ends", at.worker.present().id, at.name);
     at.worker.end();
+    if (at.worker_lost) {
+        return;
+    }
     this->for_a_while(milliseconds(20), milliseconds(8000),
                       [this, &at] { this->begin_worker(at, this->random.chance(0.6)); });
 }
--- a/src/libsupervisor/testing/overlap_simulation.cpp
+++ b/src/libsupervisor/testing/overlap_simulation.cpp
@@ -171,6 +171,11 @@
            std::chrono::duration_cast<milliseconds>(this->events.now() - this->began_at).count();
 }
 
+awake_time overlap_simulation::awake_now(const host& at) const
+{
+    return awake_time(this->events.now().time_since_epoch() - at.suspended_for);
+}
+
 steady_time overlap_simulation::fault_end() const
 {
     return this->began_at + this->options.fault_duration;
@@ -254,8 +259,9 @@
     hooks.run_at = [&at](steady_time time, std::function<void()> work) {
         at.process.run_at(time, std::move(work));
     };
-    at.subject =
-        std::make_unique<supervisor>(chosen, this->events.function(), *at.port, std::move(hooks));
+    at.subject = std::make_unique<supervisor>(
+        chosen, this->events.function(), [this, &at] { return this->awake_now(at); }, *at.port,
+        std::move(hooks));
 }
 
 void overlap_simulation::stop_supervisor(host& at)
--- a/src/libsupervisor/testing/overlap_simulation.h
+++ b/src/libsupervisor/testing/overlap_simulation.h
@@ -33,12 +33,14 @@
     foreign_announcements, ///< Another writer announces a made-up worker.
     leader_change,
     slow_commits,
+    worker_loss, ///< A worker crashes and does not come back. Not among `all_faults`.
 };
 
-constexpr std::size_t fault_kind_count = static_cast<std::size_t>(fault_kind::slow_commits) + 1;
+constexpr std::size_t fault_kind_count = static_cast<std::size_t>(fault_kind::worker_loss) + 1;
 
 [[nodiscard]] std::string_view fault_name(fault_kind kind);
 [[nodiscard]] std::optional<fault_kind> parse_fault(std::string_view name);
+/// All kinds but those that leave fewer workers after the faults.
 [[nodiscard]] std::set<fault_kind> all_faults();
 /// A part of the kinds, drawn by the seed.
 [[nodiscard]] std::set<fault_kind> draw_faults(std::uint64_t seed);
@@ -101,6 +103,8 @@
         bool late_announcements = false;
 
         steady_time suspended_until;
+        /// Total time for which the host was suspended.
+        std::chrono::nanoseconds suspended_for{0};
         /// Faults under which no supervisor could stop the runs of a worker that was suspended do
         /// not begin before then.
         steady_time protected_until;
@@ -108,6 +112,7 @@
         std::uint64_t announcement_sequence = 0;
         std::uint64_t last_id = 0;
         std::int64_t time_of_day_offset_ms = 0;
+        bool worker_lost = false; ///< No further lifetime of the worker begins.
         bool draining = false;
         steady_time drain_deadline;
 
@@ -121,6 +126,8 @@
     };
 
     [[nodiscard]] std::int64_t unix_ms() const;
+    /// The clock of a process that runs on the host.
+    [[nodiscard]] awake_time awake_now(const host& at) const;
     [[nodiscard]] steady_time fault_end() const;
     [[nodiscard]] bool quiet() const { return this->events.now() >= this->fault_end(); }
     void count_message(host& at);
@@ -165,6 +172,7 @@
     void suspend(host& at);
     void change_capacity(host& at);
     void crash_worker(host& at);
+    void lose_worker(host& at);
     void shut_down_worker(host& at);
     void deregister_worker(host& at, std::uint64_t lifetime);
     void end_worker(host& at, std::uint64_t lifetime);
