Count the tasks of a step that a round has just placed

Cause: a step of which some tasks are suspected of a crash is placed in two parts. Each part counted the tasks of the step on each worker from the committed state, which does not hold what the first part was given in the same round.

Evidence: the four assignments are of one round. Ruled out: that released runs go on uncounted (nothing is assigned in a later round). What else a round counts was looked at: resources, trials, isolation and evictions are kept within the round already.

Change: the round keeps the tasks of each limited step on each worker and adds what it assigns. Runs that a worker lists without being assigned there, from orders carried out late, count as well.

Tests: without the count in the round "both parts of a step" and "a series of crashes" fail, without the listed runs "listed and not assigned". Those of occurrences and of a leader that takes over between the parts passed before and guard the related paths.

--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -396,6 +396,10 @@
     [[nodiscard]] std::set<std::string> guaranteed_jobs() const;
     [[nodiscard]] bool is_silent(const scheduling_round& round, const tracked_worker& worker) const;
     void update_eligibility(scheduling_round& round, const pending_step& pending) const;
+    /// The tasks of the step on each worker of the round: those that are assigned to it, and those
+    /// that it lists although they are not.
+    [[nodiscard]] std::vector<std::uint32_t> count_tasks_of_step(const scheduling_round& round,
+                                                                 const pending_step& pending) const;
     /// True when a worker was observed to crash under the task and no run has progressed since.
     [[nodiscard]] bool is_crash_suspect(const task_id& id, const task_record& task) const;
     [[nodiscard]] std::set<std::string> crashed_hosts(const pending_step& pending) const;
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -389,6 +389,9 @@
         run.last_progress = round.now;
         worker_availability& worker = round.availability[worker_indices[each]];
         worker.available -= counted_resources(step);
+        if (step.per_worker_limit > 0) {
+            ++round.tasks_of_step.at(pending.id())[worker_indices[each]];
+        }
         if (worker.max_new_tasks.value_or(0) > 0) {
             --*worker.max_new_tasks;
         }
--- a/src/libjobs/scheduler_round.h
+++ b/src/libjobs/scheduler_round.h
@@ -47,6 +47,9 @@
     std::vector<worker_incarnation> ids;
     std::vector<worker_availability> availability;
     std::vector<worker_jobs> jobs; ///< For each worker, including runs assigned in this round.
+    /// For steps with a limit per worker, as they are placed: the number of their tasks on each
+    /// worker, including those assigned in this round. A step may be placed in several parts.
+    std::map<task_id, std::vector<std::uint32_t>> tasks_of_step;
     /// Suspect workers are not eligible, because there are few enough of them.
     bool exclude_suspects = true;
     std::set<std::string> guaranteed;
--- a/src/libjobs/scheduler_waiting.cpp
+++ b/src/libjobs/scheduler_waiting.cpp
@@ -175,13 +175,13 @@
         }
     }
     const std::set<std::string> hosts_crashed = this->crashed_hosts(pending);
-    const step_record& record =
-        pending.job->open_occurrences.at(pending.occurrence).steps[pending.step];
-    std::map<worker_incarnation, std::uint32_t> tasks_by_worker;
+    const std::vector<std::uint32_t>* tasks_of_step = nullptr;
     if (step.per_worker_limit > 0) {
-        for (const auto& [index, task] : record.tasks.started()) {
-            tasks_by_worker[task.worker] += task.phase == task_phase::assigned ? 1 : 0;
+        const auto [found, is_new] = round.tasks_of_step.try_emplace(pending.id());
+        if (is_new) {
+            found->second = this->count_tasks_of_step(round, pending);
         }
+        tasks_of_step = &found->second;
     }
     for (std::size_t each = 0; each < round.availability.size(); ++each) {
         const tracked_worker& known = this->workers.at(round.ids[each]);
@@ -199,10 +199,34 @@
         entry.suspect = is_suspect || known.trust.is_on_trial(round.now) ||
                         failed.contains(round.ids[each].id) ||
                         hosts_crashed.contains(round.ids[each].host);
-        const auto tasks_on_worker = tasks_by_worker.find(round.ids[each]);
-        entry.tasks_of_step =
-            tasks_on_worker == tasks_by_worker.end() ? 0 : tasks_on_worker->second;
+        entry.tasks_of_step = tasks_of_step == nullptr ? 0 : (*tasks_of_step)[each];
+    }
+}
+
+std::vector<std::uint32_t> scheduler::count_tasks_of_step(const scheduling_round& round,
+                                                          const pending_step& pending) const
+{
+    const step_record& record =
+        pending.job->open_occurrences.at(pending.occurrence).steps[pending.step];
+    std::map<worker_incarnation, std::uint32_t> assigned;
+    for (const auto& [index, task] : record.tasks.started()) {
+        assigned[task.worker] += task.phase == task_phase::assigned ? 1 : 0;
+    }
+    const task_id first = pending.id();
+    task_id end = first;
+    ++end.step;
+    std::vector<std::uint32_t> counts;
+    for (const worker_incarnation& worker : round.ids) {
+        const auto on_worker = assigned.find(worker);
+        counts.push_back(on_worker == assigned.end() ? 0 : on_worker->second);
+        const std::set<run_id>& listed = this->workers.at(worker).listed;
+        const std::set<run_id>& known = this->state.runs_on(worker);
+        for (auto each = listed.lower_bound({first, 0}); each != listed.lower_bound({end, 0});
+             ++each) {
+            counts.back() += known.contains(*each) ? 0 : 1;
+        }
     }
+    return counts;
 }
 
 } // namespace redwingwheel::jobs
