Count lasting tasks on workers without contact as away

What callers would see: a task of a step that may spare one task (`Skippable`) is stopped for guaranteed work while another one is away because its worker has crashed (AVAIL).

The list that the supervisor of a lost worker repeats says 100 percent, so that the task counts as at work.

Change: a task is at work when its worker answers.

Test: "the disruption limit leaves out long-running tasks on lost workers" fails without the change, for a worker that does not answer and for one whose lease has expired.

--- a/src/libjobs/scheduler_eviction.cpp
+++ b/src/libjobs/scheduler_eviction.cpp
@@ -263,7 +263,7 @@
     return found;
 }
 
-/// A task is at work when it is listed at 100 percent.
+/// A task is at work when it is listed at 100 percent, by a worker that answers.
 std::size_t scheduler::disruptions_left(const task_id& step) const
 {
     constexpr std::uint32_t at_work_percent = 100;
@@ -281,6 +281,7 @@
         const auto known = this->runs.find(run);
         at_work += task.phase == task_phase::assigned && known != this->runs.end() &&
                            known->second.listed && known->second.percent >= at_work_percent &&
+                           this->contact_with(task.worker) == worker_contact::answers &&
                            !this->evicting.contains(run)
                        ? 1
                        : 0;
--- a/src/libjobs/scheduler_eviction_test.cpp
+++ b/src/libjobs/scheduler_eviction_test.cpp
@@ -214,6 +214,27 @@
     CHECK(w.decide().evictions.empty());
 }
 
+// Failure: a task on a worker that does not answer any more counts as at work, and another one is
+// stopped while it is away.
+TEST_CASE("the disruption limit leaves out long-running tasks on lost workers")
+{
+    world w;
+    for (const char* const id : {"a", "b"}) {
+        w.add_worker(id, "r1");
+    }
+    submit_long_running(w, 2, 1);
+    w.decide();
+    const run_id first{{"lasting", 0, 0, 0}, 1};
+    const run_id second{{"lasting", 0, 0, 1}, 1};
+    const std::string lost = w.state.find(second.task)->worker.id;
+    w.report(lost, {{second, "", 100}});
+    w.report(lost == "a" ? "b" : "a", {{first, "", 100}});
+    const worker_contact contact = GENERATE(worker_contact::lost, worker_contact::lease_expired);
+    w.report_lost_contact(lost, {{second, "", 100}}, contact);
+    w.submit("mine", "urgent", 1, 8);
+    CHECK(w.decide().evictions.empty());
+}
+
 // Failure: an account that borrows for urgent work of its own keeps what is guaranteed to another.
 TEST_CASE("guaranteed work stops urgent work beyond a guarantee, and no guaranteed work")
 {
