--- a/src/include/redwingwheel/clock.h
+++ b/src/include/redwingwheel/clock.h
@@ -39,8 +39,8 @@
     return [] { return boot_clock::now(); };
 }
 
-/// Time for which the machine has been awake. It stands still during a suspension, like the clocks
-/// of other processes on the machine that are not made for this.
+/// Time for which the machine has been awake. Unlike boot_clock it stands still during a
+/// suspension, as the steady clocks of the other processes on the machine do.
 using awake_time = std::chrono::steady_clock::time_point;
 using awake_clock_function = std::function<awake_time()>;
 
--- a/src/include/redwingwheel/supervisor.h
+++ b/src/include/redwingwheel/supervisor.h
@@ -28,12 +28,13 @@
     milliseconds pause_after_failure{150};
     /// Pause after a failed renewal of a worker that has deregistered.
     milliseconds pause_after_deregistration{30};
-    /// Pause after a failed renewal of a worker whose lease has expired meanwhile. It may never
-    /// come back.
-    milliseconds pause_after_lease{1000};
-    /// Time in which a worker ends its runs when its lease expires.
+    /// Pause after a failed renewal, and between polls that get no orders, once the lease of a
+    /// worker without contact has expired. It may never come back.
+    milliseconds pause_after_lease_expiry{1000};
+    /// Added to the lease before it counts as expired. Covers the time in which the worker ends its
+    /// runs.
     milliseconds lease_margin{300};
-    /// Longest time after which an order without an answer may be carried out.
+    /// An order without an answer is carried out at most this long after it was sent.
     milliseconds max_order_delay{12'000};
     /// An announced incarnation that the worker has not confirmed is forgotten after this time
     /// without a further announcement. Covers several announcement intervals.
--- a/src/libsupervisor/supervisor.cpp
+++ b/src/libsupervisor/supervisor.cpp
@@ -219,7 +219,7 @@
 milliseconds supervisor::pause_before_renewal() const
 {
     if (this->lease_expired) {
-        return this->options.pause_after_lease;
+        return this->options.pause_after_lease_expiry;
     }
     return this->deregistered ? this->options.pause_after_deregistration
                               : this->options.pause_after_failure;
--- a/src/libsupervisor/supervisor_polls.cpp
+++ b/src/libsupervisor/supervisor_polls.cpp
@@ -114,8 +114,8 @@
         return;
     }
     // A new leader can only repeat the token of a worker that does not answer under it.
-    const milliseconds pause =
-        this->lease_expired ? this->options.pause_after_lease : this->options.pause_after_failure;
+    const milliseconds pause = this->lease_expired ? this->options.pause_after_lease_expiry
+                                                   : this->options.pause_after_failure;
     this->hooks.run_at(this->clock() + pause, [this] {
         if (this->polls_in_flight == 0) {
             this->schedule_poll();
