Move what follows from lost workers and from limits per worker into files of its own

The reason of a release is told by the scheduler, which the simulation's leader uses as well.

No change of behaviour.

--- a/src/include/redwingwheel/scheduler.h
+++ b/src/include/redwingwheel/scheduler.h
@@ -205,8 +205,8 @@
     /// it is valid. Permits of an earlier leader count as given when this one took over.
     [[nodiscard]] milliseconds time_since_permit(const worker_incarnation& worker) const;
 
-    /// What the last report of the worker's supervisor said; `answers` when there is none.
-    [[nodiscard]] worker_contact contact_with(const worker_incarnation& worker) const;
+    /// Why the runs of the worker are released, for the log.
+    [[nodiscard]] std::string_view loss_reason(const worker_incarnation& worker) const;
 
     /// Records how a run ended, to tell faulty workers from faulty jobs.
     void record_run_end(const worker_incarnation& worker, const ended_run& end);
@@ -334,6 +334,8 @@
                                          const pending_step& pending) const;
     void remove_ended_entries();
     void release_runs_of_lost_workers(scheduling_round& round);
+    /// What the last report of the worker's supervisor said; `answers` when there is none.
+    [[nodiscard]] worker_contact contact_with(const worker_incarnation& worker) const;
     [[nodiscard]] steady_time permit_end(const worker_incarnation& worker) const;
     /// True when nothing runs on the worker any more: it has ended, or its lease has expired.
     [[nodiscard]] bool is_lost(const worker_incarnation& worker, steady_time now) const;
--- a/src/include/redwingwheel/scheduler_service.h
+++ b/src/include/redwingwheel/scheduler_service.h
@@ -87,7 +87,6 @@
 
     void tick();
     void decide();
-    [[nodiscard]] std::string_view loss_reason(const worker_incarnation& worker) const;
     void log_waiting(const std::vector<waiting_step>& waiting);
     /// Logs a change of the headroom for urgent work.
     void report_headroom(const schedule& made);
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -112,30 +112,6 @@
     known.poll_answered_at = this->clock();
 }
 
-void scheduler::record_worker_end(const worker_incarnation& worker)
-{
-    this->workers[worker].ended = true;
-}
-
-bool scheduler::has_ended(const worker_incarnation& worker) const
-{
-    const auto known = this->workers.find(worker);
-    return known != this->workers.end() && known->second.ended;
-}
-
-/// Permits of an earlier leader may last until `permit_lifetime` from the beginning of the term.
-steady_time scheduler::permit_end(const worker_incarnation& worker) const
-{
-    const auto known = this->workers.find(worker);
-    return std::max(this->leading_since + this->options.permit_lifetime,
-                    known == this->workers.end() ? steady_time() : known->second.permit_until);
-}
-
-milliseconds scheduler::time_since_permit(const worker_incarnation& worker) const
-{
-    return std::chrono::duration_cast<milliseconds>(this->clock() - this->permit_end(worker));
-}
-
 void scheduler::record_run_end(const worker_incarnation& worker, const ended_run& end)
 {
     tracked_worker& known = this->workers[worker];
@@ -154,12 +130,6 @@
                                this->options.suspect_duration);
 }
 
-worker_contact scheduler::contact_with(const worker_incarnation& worker) const
-{
-    const auto known = this->workers.find(worker);
-    return known == this->workers.end() ? worker_contact::answers : known->second.contact;
-}
-
 std::int64_t scheduler::run_time_ms(const run_id& run) const
 {
     const auto known = this->runs.find(run);
--- a/src/libjobs/scheduler_runs.cpp
+++ b/src/libjobs/scheduler_runs.cpp
@@ -2,8 +2,8 @@
 
 #include "scheduler_round.h"
 
-/// Decisions on assigned runs: which are released or stopped, when they are expected to end, and
-/// which workers become suspect.
+/// Decisions on assigned runs: which are stopped, when they are expected to end, and which workers
+/// become suspect.
 namespace redwingwheel::jobs {
 
 namespace {
@@ -14,44 +14,6 @@
 
 } // namespace
 
-void scheduler::release_runs_of_lost_workers(scheduling_round& round)
-{
-    for (const auto& [worker, on_worker] : this->state.assigned_runs()) {
-        const bool ended = this->has_ended(worker);
-        const bool lost = this->is_lost(worker, round.now);
-        for (const run_id& run : on_worker) {
-            // An earlier release that was not committed is decided again.
-            if (!lost && !this->releasing.contains(run)) {
-                continue;
-            }
-            if (ended && this->is_listed_on_host(run, worker.host, round.now)) {
-                continue;
-            }
-            this->releasing.insert(run);
-            const auto progress = this->runs.find(run);
-            round.result.releases.push_back(
-                {run, progress == this->runs.end() ? "" : progress->second.checkpoint});
-        }
-    }
-}
-
-bool scheduler::is_lost(const worker_incarnation& worker, steady_time now) const
-{
-    return this->has_ended(worker) || this->contact_with(worker) == worker_contact::lease_expired ||
-           now >= this->permit_end(worker) + this->options.permit_margin;
-}
-
-/// True when a worker on the host lists the run as running. An order for an ended incarnation can
-/// be carried out by the next one with the same id; the supervisor stops such a run.
-bool scheduler::is_listed_on_host(const run_id& run, std::string_view host, steady_time now) const
-{
-    return std::any_of(this->workers.begin(), this->workers.end(),
-                       [this, &run, host, now](const auto& each) {
-                           return each.first.host == host && each.second.listed.contains(run) &&
-                                  !this->is_lost(each.first, now);
-                       });
-}
-
 void scheduler::stop_stalled(scheduling_round& round)
 {
     constexpr std::uint32_t finished_percent = 100;
--- a/src/libscheduler/scheduler_service.cpp
+++ b/src/libscheduler/scheduler_service.cpp
@@ -259,19 +259,6 @@
                  made.urgent_demand);
 }
 
-/// Returns why the runs of the worker are released.
-std::string_view scheduler_service::loss_reason(const worker_incarnation& worker) const
-{
-    if (this->job_scheduler.has_ended(worker)) {
-        return "worker_ended";
-    }
-    if (this->job_scheduler.contact_with(worker) == worker_contact::lease_expired) {
-        return "lease_expired";
-    }
-    const bool expired = this->job_scheduler.time_since_permit(worker) >= milliseconds(0);
-    return expired ? "permit_expired" : "start_refused";
-}
-
 void scheduler_service::decide()
 {
     const schedule made = this->job_scheduler.decide(unix_ms());
@@ -298,7 +285,7 @@
             spdlog::info("event=run_given_up job={} task={} run={} worker={} born={} reason={} "
                          "permit_expired_ms={}",
                          each.run.task.job, format_task(each.run.task), each.run.number, worker.id,
-                         worker.started_unix_ms, this->loss_reason(worker),
+                         worker.started_unix_ms, this->job_scheduler.loss_reason(worker),
                          this->job_scheduler.time_since_permit(worker).count());
         }
         ++this->uncommitted_decisions;
--- a/src/libsupervisor/testing/leader_model.cpp
+++ b/src/libsupervisor/testing/leader_model.cpp
@@ -290,7 +290,7 @@
             const worker_incarnation& worker = this->state.find(each.run.task)->worker;
             spdlog::info("leader: run_given_up {} worker={} born={} reason={} permit_expired_ms={}",
                          format_run(each.run), worker.id, worker.started_unix_ms,
-                         this->job_scheduler.has_ended(worker) ? "worker_ended" : "permit_expired",
+                         this->job_scheduler.loss_reason(worker),
                          this->job_scheduler.time_since_permit(worker).count());
         }
         ++this->uncommitted_decisions;
